--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,811 @@
+// Package logic decides for one co-ordinator: which searches wait, how many parts are sent, to whom, what is sent
+// again, and when the answer goes out. A protocol makes one with New, hands it events by the calls of Coordinator
+// and carries out what it asks by Out; both stand in iface.go. Nothing happens but in such a call, and the same
+// calls give the same actions. docs/design.md tells what is TOFEC's and what departs from it.
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"sort"
+)
+
+// Times are tenths of a millisecond.
+const (
+	slotsPerReplica = 4    // parts in flight for each listed replica: the design's starting value
+	memory          = 0.99 // weight of the old backlog at an arrival: the paper's memory factor
+
+	paceSpan   = 40_000    // decay of answer times: some ten answers of one replica, yet forgets within a trouble
+	rateSpan   = 30_000    // decay of rates: long enough for a few dozen parts
+	fleetSpan  = 20_000    // decay of the common answer time: must follow a slowdown of all within seconds
+	bestCreep  = 1.0 / 3e6 // rise of the shortest answer time for each tenth: e-fold in 5 min, so a lucky low fades
+	fewAnswers = 8         // answers before a mean is believed: below, one odd part sways it
+	firstPace  = 2_000     // answer time assumed before any is known: a search part of 200 ms
+
+	slackRatio = 3.0  // present / shortest answer time at which the slot cap begins to shrink: ordinary queueing
+	leastShare = 0.25 // smallest slot cap, of the start: one part a replica keeps every replica measured
+
+	slowFrom   = 2.2    // answer time over the fleet's from which a replica's parts count for more: beyond chance
+	priorParts = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
+	quietRatio = 4.0    // silence over the fleet's answer time that makes a replica suspect: no ordinary part takes it
+	quietLeast = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
+	quietTries = 2      // parts unanswered meanwhile: one may simply be long
+	strikeOut  = 3      // errors or refusals in a row that make a replica suspect: single ones happen on good days
+	trialFirst = 10_000 // first wait before a suspect gets a trial part: a second is a short outage
+	trialMost  = 40_000 // longest such wait: a healed replica is back in use within seconds
+	fullPause  = 1_500  // rest after a refused part: about the time of one part
+
+	copyRatio = 2.5   // part's age over the fleet's answer time at which a second copy goes out: beyond the 95th percentile
+	copyLeast = 1_500 // shortest such age: under it a copy costs more than it brings
+	copyAgain = 1_000 // wait before an overdue part is looked at again
+	copyParts = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
+
+	coldPart  = 0.9    // of the proportionate rate for a cold replica: room for chance
+	coldBurst = 1.0    // parts at once to a cold replica
+	parkLook  = 200    // wait before parts that no replica may take are looked at again
+	answerPad = 150    // time kept before a client's limit, beside two ticks: the final answer must not be late
+	askFirst  = 5_000  // wait before a failed subscription is asked again
+	askMost   = 80_000 // longest such wait, cut to what the rules allow
+	windowPad = 20     // kept off the windows of rules against rounding
+	usefulPad = 1.1    // spread of a search's time over its mean when asking whether it can still be useful
+	overShare = 1.2    // times a tenant's share from which it counts as over: rates of few searches swing
+	lateWorth = 0.05   // late share up to which a late answer is not worth going on for
+)
+
+type pending func(ending string, wait int64)
+
+type coordinator struct {
+	out     Out
+	chance  *rand.Rand
+	facts   siteFacts
+	now     int64
+	fleet   map[string]*replica
+	list    []*replica // the same, in the order of first sight
+	fresh   []func(keep map[string]bool)
+	held    map[uint64]*search // by id
+	numbers map[uint64]*search
+	parts   map[uint64]*part
+	queue   []*search
+	waiting []*part
+	next    map[uint64]pending // what each sub-request's outcome is handed to, by part and leg
+	wakes   map[uint64]func()
+	label   uint64
+	backlog float64
+	used    int
+	pace    sum // logarithms of answer times
+	best    float64
+	bestAt  int64
+	sends   sum // first sub-requests
+	done    sum // answered parts
+	spell   sum // time of searches from leaving the queue to the answer
+	tenants []sum
+	taken   []int64 // searches and parts taken in the budget's window
+	further []int64 // further sub-requests in it
+	askWait int64
+	parked  bool
+}
+
+// New makes the module of one co-ordinator.
+func New(out Out) Coordinator {
+	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
+		numbers: map[uint64]*search{}, parts: map[uint64]*part{}, next: map[uint64]pending{},
+		wakes: map[uint64]func(){}, askWait: askFirst}
+}
+
+func (c *coordinator) Clock(now int64) { c.now = now }
+
+func (c *coordinator) Start(seed int64, settings map[string]string) {
+	c.facts, c.chance = settings, rand.New(rand.NewSource(seed))
+	c.facts.num("Specifics.Sets")
+	c.facts.num("Specifics.Reach")
+	for q := range int(c.facts.num("Classes.count")) {
+		c.facts.num(of("Classes", q, "Aim"))
+		c.facts.num(of("Classes", q, "Deadline"))
+	}
+	c.tenants = make([]sum, int(c.facts.opt("Tenants.count", 0)))
+	if c.facts["Discovery"] == "subscribe" {
+		c.out.Watch()
+	}
+}
+
+func (c *coordinator) after(wait int64, do func()) {
+	c.label++
+	c.wakes[c.label] = do
+	c.out.Wake(max(wait, 1), c.label)
+}
+
+func (c *coordinator) Timer(label uint64) {
+	if do := c.wakes[label]; do != nil {
+		delete(c.wakes, label)
+		do()
+	}
+}
+
+// The list.
+
+func (c *coordinator) Entry(id string, zone, kind, cell int, status string, units float64, since int64) {
+	c.fresh = append(c.fresh, func(keep map[string]bool) {
+		keep[id] = true
+		r := c.fleet[id]
+		if r == nil {
+			r = &replica{id: id, since: since, creditAt: c.now}
+			c.fleet[id] = r
+			c.list = append(c.list, r)
+		} else if since > r.since {
+			r.since, r.pace, r.quiet, r.strikes, r.down = since, sum{}, 0, 0, false
+			r.credit, r.creditAt = 0, c.now
+		}
+		r.cell, r.open = cell, status == "healthy"
+	})
+}
+
+func (c *coordinator) ListDone(how string, revision int64) {
+	entries := c.fresh
+	c.fresh = nil
+	if how == "Error" {
+		// Guards against a list service that fails: asked again with growing waits, within the rule's time.
+		wait := c.askWait
+		if within := c.facts.span("Safety.AskWithin"); within > 0 {
+			wait = min(wait, within/2)
+		}
+		c.askWait = min(2*c.askWait, askMost)
+		c.after(wait+c.chance.Int63n(wait/4+1), c.out.Watch)
+		return
+	}
+	c.askWait = askFirst
+	keep := map[string]bool{}
+	for _, enter := range entries {
+		enter(keep)
+	}
+	if how == "Partial" {
+		return
+	}
+	for _, r := range c.list {
+		r.open = r.open && keep[r.id]
+	}
+}
+
+func (c *coordinator) holds(r *replica, shard int) bool {
+	sets := int(c.facts.num("Specifics.Sets"))
+	return (r.cell-shard%sets+sets)%sets < int(c.facts.num("Specifics.Reach"))
+}
+
+// Arrivals.
+
+func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
+	retry bool) {
+	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
+	s := &search{id: id, number: number, qtype: qtype, tenant: tenant, came: c.now, step: 1, counted: count}
+	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
+	s.useful = c.now + min(c.facts.span(of("Classes", qtype, "Aim")), grace) - c.facts.span("Tick")
+	s.need = c.share("Specifics.NeedByClass", qtype)
+	c.held[id], c.numbers[number] = s, s
+	c.taken = append(c.taken, c.now)
+	if tenant < len(c.tenants) {
+		c.tenants[tenant].add(c.now, rateSpan, 1)
+	}
+	c.queue = append(c.queue, s)
+	c.after(s.due-c.now, func() { c.giveUp(s) })
+	if s.useful < s.due {
+		c.after(s.useful-c.now, func() { c.pastUse(s) })
+	}
+}
+
+func (c *coordinator) Part(id, number uint64, shard int, weight float64) {
+	c.taken = append(c.taken, c.now)
+	s := c.numbers[number]
+	if s == nil || s.over {
+		return
+	}
+	p := &part{id: id, s: s, shard: shard, weight: weight}
+	c.parts[id] = p
+	s.parts = append(s.parts, p)
+	s.most += weight
+	if s.step == 2 {
+		c.ask(p) // the second step was let in with the first
+	}
+}
+
+func (c *coordinator) Withdrawn(id uint64) {
+	if s := c.held[id]; s != nil {
+		c.end(s)
+	}
+}
+
+func (c *coordinator) ProbeResult(string, string, int64, map[string]float64) {}
+
+// Leaving the queue.
+
+func (c *coordinator) EndOfBatch() {
+	for c.sendWaiting() && len(c.queue) > 0 && c.used < c.slots() {
+		s := c.queue[0]
+		c.queue = c.queue[1:]
+		if s.over {
+			continue
+		}
+		if s.came < c.now && c.late(s, 0) {
+			c.shed(s)
+			continue
+		}
+		c.open(s)
+	}
+	c.trim()
+	if c.parked {
+		c.parked = false
+		c.after(parkLook, func() {})
+	}
+}
+
+// open lets a search leave the queue: the needed parts and the extras that the backlog grants.
+func (c *coordinator) open(s *search) {
+	s.left = c.now
+	order := slices.Clone(s.parts)
+	c.chance.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	hard := map[*part]bool{}
+	for _, p := range order {
+		hard[p] = c.pick(p, false) == nil
+	}
+	sort.SliceStable(order, func(i, j int) bool {
+		if hard[order[i]] != hard[order[j]] {
+			return hard[order[j]]
+		}
+		return order[i].weight > order[j].weight
+	})
+	have, n := 0.0, 0
+	for n < len(order) && have < s.need-1e-4 {
+		have += order[n].weight
+		n++
+	}
+	extras := len(order) - n
+	if c.backlog >= 1 {
+		extras = max(0, extras-int(c.backlog))
+	}
+	for _, p := range order[:n+extras] {
+		c.ask(p)
+	}
+}
+
+func (c *coordinator) ask(p *part) {
+	if !p.asked {
+		p.asked = true
+	}
+	if !p.queued {
+		p.queued = true
+		c.waiting = append(c.waiting, p)
+	}
+}
+
+// sendWaiting sends parts in turn and tells whether none is left that a free slot would serve. A part that no
+// replica may take just now (cold, draining) stands aside: it must not hold up the queue.
+func (c *coordinator) sendWaiting() bool {
+	rest := c.waiting[:0]
+	free := true
+	for i, p := range c.waiting {
+		if p.s.over || p.in || p.dead {
+			p.queued = false
+			continue
+		}
+		if c.used >= c.slots() {
+			rest, free = append(rest, c.waiting[i:]...), false
+			break
+		}
+		r := c.pick(p, len(p.tries) > 0)
+		if r == nil || !c.mayTry(p) {
+			c.parked = true
+			rest = append(rest, p)
+			continue
+		}
+		p.queued = false
+		c.send(p, r)
+	}
+	c.waiting = rest
+	return free
+}
+
+// slots is the cap of parts in flight. It starts at the design's value and follows shortest / present answer time
+// once that falls below 1/slackRatio: parts beyond it would only wait at the replicas.
+func (c *coordinator) slots() int {
+	n := 0
+	for _, r := range c.list {
+		if r.open {
+			n++
+		}
+	}
+	count, _ := c.pace.read(c.now, fleetSpan)
+	share := 1.0
+	if count >= fewAnswers {
+		share = min(1, max(leastShare, slackRatio*c.shortest()/c.common()))
+	}
+	return max(1, int(float64(slotsPerReplica*n)*share))
+}
+
+func (c *coordinator) common() float64 {
+	n, total := c.pace.read(c.now, fleetSpan)
+	return math.Exp((total + math.Log(firstPace)) / (n + 1))
+}
+
+func (c *coordinator) shortest() float64 {
+	now := c.common()
+	n, _ := c.pace.read(c.now, fleetSpan)
+	if n < fewAnswers {
+		return now
+	}
+	c.best *= math.Exp(float64(c.now-c.bestAt) * bestCreep)
+	if c.best == 0 || now < c.best {
+		c.best = now
+	}
+	c.bestAt = c.now
+	return c.best
+}
+
+// Replicas.
+
+// pick chooses the replica for a part: fewest own calls out, ties by chance. other asks for one not tried yet.
+func (c *coordinator) pick(p *part, other bool) *replica {
+	var best *replica
+	least, ties := math.Inf(1), 0
+	for _, r := range c.list {
+		if !r.open || !c.holds(r, p.shard) || !c.coldRoom(r) {
+			continue
+		}
+		load := c.load(r)
+		if c.suspect(r) {
+			// Guards against replicas that take parts and answer none, or refuse: used only where nothing else
+			// holds the shard, but for a trial part now and then, so that suspicion heals.
+			load += 1e6
+			if c.now >= r.trialAt && !other && c.facts[of("Classes", p.s.qtype, "Effect")] == "retryable" {
+				load = -1
+			}
+		} else if c.now < r.pauseTo {
+			load += 1e5
+		}
+		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r && (t.out || !t.settled) }) {
+			continue
+		}
+		if other && slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r }) {
+			load += 1e4
+		}
+		switch {
+		case load < least:
+			best, least, ties = r, load, 1
+		case load == least:
+			if ties++; c.chance.Intn(ties) == 0 {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+// load is the count of own calls out. On a replica far slower than the fleet each counts as many times as it is
+// slower: counts alone would go on filling it as fast as the others drain.
+func (c *coordinator) load(r *replica) float64 {
+	n := float64(r.calls)
+	if slow := c.slowness(r); slow > slowFrom {
+		return (n+1)*slow - 1
+	}
+	return n
+}
+
+// slowness is a replica's answer time over the fleet's, parts that are still out counted by their age.
+func (c *coordinator) slowness(r *replica) float64 {
+	n, total := r.pace.read(c.now, paceSpan)
+	common := math.Log(c.common())
+	for _, t := range r.tries {
+		if age := math.Log(float64(max(1, c.now-t.sent))); age > common {
+			n, total = n+1, total+age
+		}
+	}
+	return math.Exp((total+priorParts*common)/(n+priorParts) - common)
+}
+
+func (c *coordinator) suspect(r *replica) bool {
+	if r.down || r.strikes >= strikeOut {
+		return true
+	}
+	return r.quiet >= quietTries && float64(c.now-r.quietSince) > max(quietLeast, quietRatio*c.common())
+}
+
+// coldRoom guards against pushing over a replica that has just started: it gets the share of an ordinary
+// replica's parts that it can surely do by now. Also guards against own bursts after a fail-over.
+func (c *coordinator) coldRoom(r *replica) bool {
+	cold := c.facts.span("Safety.Cold")
+	if r.since == 0 || c.now >= r.since+cold {
+		return true
+	}
+	from := c.facts.opt("Safety.ColdFrom", 0)
+	can := from + (1-from)*float64(max(0, c.now-r.since))/float64(cold)
+	rate := c.sends.rate(c.now, rateSpan) / float64(max(1, len(c.list)))
+	r.credit = min(coldBurst, r.credit+coldPart*can*rate*float64(c.now-r.creditAt))
+	r.creditAt = c.now
+	return r.credit >= 1
+}
+
+// Sub-requests.
+
+// mayTry holds the rules on sending a part: how often, when a repeat is harmless, and the stated budget.
+func (c *coordinator) mayTry(p *part) bool {
+	if len(p.tries) == 0 {
+		return true
+	}
+	if len(p.tries) >= int(c.facts.opt("Permissions.MaxAttempts", 1)) || !c.mayRepeat(p) {
+		return false
+	}
+	span := c.facts.span("Safety.LookBack")
+	if span == 0 {
+		return true
+	}
+	prune := func(at []int64, from int64) []int64 {
+		for len(at) > 0 && at[0] < from {
+			at = at[1:]
+		}
+		return at
+	}
+	c.taken, c.further = prune(c.taken, c.now-span+windowPad), prune(c.further, c.now-span-windowPad)
+	room := c.facts.opt("Safety.ExtraFloor", 0) + c.facts.opt("Safety.FurtherRatio", 0)*float64(len(c.taken))
+	return float64(len(c.further)+1) <= room
+}
+
+func (c *coordinator) mayRepeat(p *part) bool {
+	if !c.facts.yes("Permissions.SecondCopies") &&
+		slices.ContainsFunc(p.tries, func(t *try) bool { return !t.settled }) {
+		return false
+	}
+	effect := c.facts[of("Classes", p.s.qtype, "Effect")]
+	for _, t := range p.tries {
+		if !t.maybe && t.settled || effect == "retryable" {
+			continue
+		}
+		if effect != "dedup" || c.now-t.sent > c.facts.span(of("Classes", p.s.qtype, "RepeatWindow"))-windowPad {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *coordinator) send(p *part, r *replica) {
+	t := &try{p: p, r: r, leg: len(p.tries), sent: c.now, out: true}
+	if t.leg == 0 {
+		c.sends.add(c.now, rateSpan, 1)
+	} else {
+		c.further = append(c.further, c.now)
+		p.s.copies++
+	}
+	if c.suspect(r) {
+		r.trialGap = min(max(trialFirst, 2*r.trialGap), trialMost)
+		r.trialAt = c.now + r.trialGap
+	}
+	r.credit--
+	if r.turnAt != c.now || r.turn == nil || r.turn.parts >= int(c.facts.opt("Specifics.PerCall", 1)) {
+		r.turn, r.turnAt = &call{}, c.now
+		r.calls++
+	}
+	t.c = r.turn
+	t.c.parts++
+	t.c.out++
+	if r.quiet == 0 {
+		r.quietSince = c.now
+	}
+	r.quiet++
+	p.tries, r.tries = append(p.tries, t), append(r.tries, t)
+	c.used++
+	patience := p.s.due - c.now + answerPad
+	if !c.facts.yes("Permissions.SecondCopies") && len(p.tries) < int(c.facts.opt("Permissions.MaxAttempts", 1)) &&
+		c.facts[of("Classes", p.s.qtype, "Effect")] != "fragile" {
+		patience = min(patience, c.overdueAfter()*2) // no copy beside it: it ends, then goes to another
+	}
+	c.out.Send(p.id, r.id, patience)
+	c.next[p.id<<8|uint64(t.leg)] = func(ending string, wait int64) { c.landed(t, ending, wait) }
+	if c.facts.yes("Permissions.SecondCopies") {
+		c.after(c.overdueAfter(), func() { c.overdue(t) })
+	}
+}
+
+func (c *coordinator) overdueAfter() int64 { return int64(max(copyLeast, copyRatio*c.common())) }
+
+// overdue guards against every kind of silence or slowness of one replica, whatever its cause: a part that takes
+// far longer than parts do now gets a second copy elsewhere. It does harm where the part itself is heavy.
+func (c *coordinator) overdue(t *try) {
+	p := t.p
+	if t.settled || p.s.over || p.in || p.dead {
+		return
+	}
+	again := func() { c.after(copyAgain, func() { c.overdue(t) }) }
+	ours := 0
+	for _, q := range p.s.parts {
+		if q.asked {
+			ours++
+		}
+	}
+	r := c.pick(p, true)
+	sound := r != nil && !c.suspect(r)
+	if !sound || !c.mayTry(p) || p.queued || !c.lacking(p.s) ||
+		!c.suspect(t.r) && (len(c.queue) > 0 || float64(p.s.copies) >= math.Ceil(copyParts*float64(ours))) {
+		again()
+		return
+	}
+	c.send(p, r)
+}
+
+// lacking tells whether the parts in and those out but not overdue fall short of a whole answer.
+func (c *coordinator) lacking(s *search) bool {
+	have := s.in
+	for _, p := range s.parts {
+		if !p.in && slices.ContainsFunc(p.tries, func(t *try) bool {
+			return t.out && c.now-t.sent < c.overdueAfter() && !c.suspect(t.r)
+		}) {
+			have += p.weight
+		}
+	}
+	return have < s.need-1e-4
+}
+
+func (c *coordinator) Outcome(part uint64, leg int, ending string, wait int64, over bool,
+	report map[string]float64) {
+	key := part<<8 | uint64(leg)
+	if then := c.next[key]; then != nil {
+		delete(c.next, key)
+		then(ending, wait)
+	}
+}
+
+func (c *coordinator) release(t *try) {
+	if !t.out {
+		return
+	}
+	t.out = false
+	c.used--
+	if t.c.out--; t.c.out == 0 {
+		t.r.calls--
+	}
+	t.r.tries = slices.DeleteFunc(t.r.tries, func(o *try) bool { return o == t })
+}
+
+// landed is what every sub-request leaves behind for its outcome.
+func (c *coordinator) landed(t *try, ending string, wait int64) {
+	held := t.out
+	c.release(t)
+	t.settled = true
+	p, r, s := t.p, t.r, t.p.s
+	pace := math.Log(float64(max(1, wait)))
+	switch ending {
+	case "Ok":
+		if r.down && r.since+c.facts.span("Safety.Cold") < c.now {
+			r.since, r.credit, r.creditAt = c.now, 0, c.now // it was gone and is back before the list says so
+		}
+		t.maybe, r.quiet, r.strikes, r.down, r.trialGap = true, 0, 0, false, 0
+		r.pace.add(c.now, paceSpan, pace)
+		c.pace.add(c.now, fleetSpan, pace)
+		c.shortest()
+		c.done.add(c.now, rateSpan, 1)
+		if !p.in && !p.dead && !s.over {
+			p.in = true
+			s.in += p.weight
+			for _, o := range p.tries {
+				c.cancel(o)
+			}
+			c.check(s)
+		}
+		return
+	case "Canceled", "TimedOut":
+		t.maybe = true
+		if held && pace > math.Log(c.common()) || ending == "TimedOut" {
+			r.pace.add(c.now, paceSpan, pace)
+		}
+	case "Failed":
+		t.maybe = true
+		r.strikes++
+	case "QueueFull":
+		r.strikes++
+		r.pauseTo = c.now + fullPause
+	case "ConnectError":
+		r.down = true
+	case "ResetByPeer":
+		t.maybe, r.down = true, true
+	}
+	if c.suspect(r) && r.trialAt <= c.now {
+		r.trialAt = c.now + max(trialFirst, r.trialGap)
+	}
+	c.missed(p)
+}
+
+// missed looks at a part after a sub-request that brought nothing.
+func (c *coordinator) missed(p *part) {
+	s := p.s
+	if s.over || p.in || p.dead || p.queued ||
+		slices.ContainsFunc(p.tries, func(t *try) bool { return !t.settled }) {
+		return
+	}
+	if len(p.tries) < int(c.facts.opt("Permissions.MaxAttempts", 1)) && c.mayRepeat(p) {
+		c.ask(p)
+		return
+	}
+	p.dead = true
+	s.most -= p.weight
+	for _, q := range s.parts { // an unsent part may stand in
+		if !q.asked {
+			c.ask(q)
+			break
+		}
+	}
+	if s.most < s.need-1e-4 && s.most < c.floor(s)-1e-4 {
+		c.giveUp(s)
+		return
+	}
+	c.check(s)
+}
+
+func (c *coordinator) cancel(t *try) {
+	if t.settled || !c.facts.yes("Permissions.Cancelling") {
+		return
+	}
+	if t.out {
+		if pace := math.Log(float64(max(1, c.now-t.sent))); pace > math.Log(c.common()) {
+			t.r.pace.add(c.now, paceSpan, pace)
+		}
+		c.release(t)
+		c.out.Cancel(t.p.id, t.leg)
+	}
+}
+
+// Final answers.
+
+func (c *coordinator) share(list string, qtype int) float64 {
+	if v, ok := c.facts.nth(list, qtype); ok {
+		return v
+	}
+	return 1
+}
+
+func (c *coordinator) floor(s *search) float64 {
+	floor := min(c.share("Specifics.ClassFloor", s.qtype), s.need)
+	if s.step == 2 && c.share("Specifics.ClassFloor", s.qtype) >= c.share("Specifics.NeedByClass", s.qtype) {
+		return 1
+	}
+	return floor
+}
+
+// check answers as soon as enough is in, or when all that can come has come.
+func (c *coordinator) check(s *search) {
+	if s.in >= s.need-1e-6 {
+		c.answer(s)
+		return
+	}
+	if s.most < s.need-1e-4 && s.in >= c.floor(s)+1e-6 && s.in >= s.most-1e-6 {
+		c.answer(s)
+	}
+}
+
+func (c *coordinator) answer(s *search) {
+	whole := s.in >= s.need-1e-6
+	if s.step == 1 {
+		s.firstWhole = whole
+		c.spell.add(c.now, rateSpan, float64(c.now-s.left))
+	}
+	c.out.Answer(s.id, whole && s.firstWhole)
+	more, _ := c.facts.nth("Specifics.FollowUp", s.qtype)
+	if s.step == 1 && more > 0 {
+		c.drop(s)
+		s.step, s.parts, s.in, s.most, s.need, s.copies = 2, nil, 0, 0, 1, 0
+		return
+	}
+	c.end(s)
+}
+
+// drop calls off what is out of the present step.
+func (c *coordinator) drop(s *search) {
+	for _, p := range s.parts {
+		for _, t := range p.tries {
+			c.cancel(t)
+		}
+		p.dead = true
+		delete(c.parts, p.id)
+	}
+}
+
+func (c *coordinator) end(s *search) {
+	s.over = true
+	c.drop(s)
+	delete(c.held, s.id)
+	delete(c.numbers, s.number)
+}
+
+// giveUp ends a search at once with the best that is true of it.
+func (c *coordinator) giveUp(s *search) {
+	if s.over {
+		return
+	}
+	if s.in > 0 && s.in >= c.floor(s)+1e-6 {
+		c.answer(s)
+		if !s.over {
+			c.refuse(s)
+		}
+		return
+	}
+	c.refuse(s)
+}
+
+// refuse sheds where asking again is harmless, and errs elsewhere.
+func (c *coordinator) refuse(s *search) {
+	if c.harmless(s) {
+		c.shed(s)
+		return
+	}
+	c.out.Error(s.id)
+	c.end(s)
+}
+
+func (c *coordinator) harmless(s *search) bool {
+	if c.facts[of("Classes", s.qtype, "Effect")] == "retryable" {
+		return true
+	}
+	return s.step == 1 && !slices.ContainsFunc(s.parts, func(p *part) bool {
+		return slices.ContainsFunc(p.tries, func(t *try) bool { return t.maybe || !t.settled })
+	})
+}
+
+func (c *coordinator) shed(s *search) {
+	advice := int64(0)
+	if c.facts.yes("Permissions.RetryAfter") {
+		advice = min(int64(c.wait(c.ahead(nil))), c.facts.span("Permissions.MaxRetryAfter"))
+	}
+	c.out.Shed(s.id, advice)
+	c.end(s)
+}
+
+// pastUse looks at a search whose latency target ends: an answer short of whole goes out where the type allows
+// one, and a search that is worth nothing late makes room.
+func (c *coordinator) pastUse(s *search) {
+	if s.over {
+		return
+	}
+	late := c.facts.opt(of("Classes", s.qtype, "LateShare"), 0)
+	if s.in > 0 && s.in >= c.floor(s)+1e-6 && s.step == 1 || late <= lateWorth {
+		c.giveUp(s)
+	}
+}
+
+// Shedding. All of it acts only while searches wait for a slot.
+
+func (c *coordinator) ahead(s *search) float64 {
+	n := len(c.waiting)
+	for _, q := range c.queue {
+		if q == s {
+			break
+		}
+		n += len(q.parts)
+	}
+	return float64(n)
+}
+
+func (c *coordinator) wait(ahead float64) float64 {
+	return ahead / max(c.done.rate(c.now, rateSpan), 1e-4)
+}
+
+// late tells whether a search with so many parts before it would be answered after its target.
+func (c *coordinator) late(s *search, ahead float64) bool {
+	n, total := c.spell.read(c.now, rateSpan)
+	return float64(c.now)+c.wait(ahead)+usefulPad*total/(n+1) > float64(s.useful)
+}
+
+// trim guards against overload: what cannot be answered in useful time is turned away while its client can still
+// ask again, and what a tenant sends beyond its share goes first. Harm: a wait judged too long sheds needlessly.
+func (c *coordinator) trim() {
+	c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
+	for _, s := range slices.Clone(c.queue) {
+		if c.late(s, c.ahead(s)) || s.came == c.now && c.overQuota(s.tenant) {
+			c.shed(s)
+			c.queue = slices.DeleteFunc(c.queue, func(q *search) bool { return q == s })
+		}
+	}
+}
+
+func (c *coordinator) overQuota(tenant int) bool {
+	quota := c.facts.opt(of("Tenants", tenant, "QuotaPerS"), 0) / 10_000
+	if tenant >= len(c.tenants) || quota == 0 {
+		return false
+	}
+	return c.tenants[tenant].rate(c.now, rateSpan)*c.facts.num("Balancers") > overShare*quota
+}
+
--- /dev/null
+++ b/logic/settings.go
@@ -0,0 +1,69 @@
+package logic
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// siteFacts holds what the site told at start, by name. A fact that is needed and missing, or any fact that cannot
+// be read, panics with its name; the protocol reports that and drops the instance.
+type siteFacts map[string]string
+
+func (f siteFacts) has(name string) bool { _, ok := f[name]; return ok }
+
+func (f siteFacts) parse(name, text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || v != v {
+		panic(fmt.Sprintf("setting %s: %q is no number", name, text))
+	}
+	return v
+}
+
+// num reads a number that is needed.
+func (f siteFacts) num(name string) float64 {
+	text, ok := f[name]
+	if !ok {
+		panic("setting " + name + " is missing")
+	}
+	return f.parse(name, text)
+}
+
+// opt reads a number that may be missing.
+func (f siteFacts) opt(name string, missing float64) float64 {
+	if text, ok := f[name]; ok {
+		return f.parse(name, text)
+	}
+	return missing
+}
+
+// span reads a time, told in milliseconds, as tenths.
+func (f siteFacts) span(name string) int64 { return int64(f.opt(name, 0) * 10) }
+
+// yes reads a switch that may be missing: off then.
+func (f siteFacts) yes(name string) bool {
+	switch text := f[name]; text {
+	case "true", "1":
+		return true
+	case "false", "0", "":
+		return false
+	default:
+		panic(fmt.Sprintf("setting %s: %q is neither true nor false", name, text))
+	}
+}
+
+// nth reads a place in a list of numbers.
+func (f siteFacts) nth(name string, i int) (float64, bool) {
+	text, ok := f[name]
+	if !ok {
+		return 0, false
+	}
+	items := strings.Split(text, ",")
+	if i >= len(items) {
+		panic(fmt.Sprintf("setting %s has no place %d", name, i))
+	}
+	return f.parse(name, items[i]), true
+}
+
+// of names a fact of a query type or tenant.
+func of(list string, i int, field string) string { return fmt.Sprintf("%s.%d.%s", list, i, field) }
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,97 @@
+package logic
+
+import "math"
+
+// search is one search this co-ordinator holds.
+type search struct {
+	id, number     uint64
+	qtype, tenant  int
+	came, left     int64 // left: when it left the queue, 0 while it waits
+	due, useful    int64 // last moment for a final answer; end of the latency target
+	step           int
+	firstWhole     bool
+	over           bool
+	counted        int // parts that the step holds
+	parts          []*part
+	in, need, most float64 // weight in, weight for a whole answer, weight that can still come
+	copies         int
+}
+
+// part is one part of a search's present step.
+type part struct {
+	id     uint64
+	s      *search
+	shard  int
+	weight float64
+	asked  bool // chosen to be sent
+	queued bool // waits for a slot
+	in     bool
+	dead   bool
+	tries  []*try
+}
+
+// try is one sub-request.
+type try struct {
+	p       *part
+	r       *replica
+	leg     int
+	sent    int64
+	c       *call
+	out     bool // holds its slot
+	settled bool // its outcome is known
+	maybe   bool // it may have run
+}
+
+// call is what one turn sent to one replica together.
+type call struct{ parts, out int }
+
+// replica is one entry of the list with what own sub-requests have shown of it.
+type replica struct {
+	id         string
+	cell       int
+	open       bool // listed, and neither draining nor gone
+	since      int64
+	calls      int
+	turn       *call
+	turnAt     int64
+	tries      []*try
+	pace       sum // logarithms of answer times
+	quietSince int64
+	quiet      int
+	strikes    int
+	down       bool
+	trialAt    int64
+	trialGap   int64
+	pauseTo    int64
+	credit     float64
+	creditAt   int64
+}
+
+// sum is a decaying count and a decaying total, brought up to date when read.
+type sum struct {
+	n, total  float64
+	at, start int64
+}
+
+func (m *sum) read(now int64, span float64) (n, total float64) {
+	if m.at == 0 {
+		m.at, m.start = now, now
+	}
+	if now > m.at {
+		keep := math.Exp(-float64(now-m.at) / span)
+		m.n, m.total, m.at = m.n*keep, m.total*keep, now
+	}
+	return m.n, m.total
+}
+
+func (m *sum) add(now int64, span, v float64) {
+	m.read(now, span)
+	m.n, m.total = m.n+1, m.total+v
+}
+
+// rate is the count for each tenth of a millisecond, true also while the sum is young.
+func (m *sum) rate(now int64, span float64) float64 {
+	n, _ := m.read(now, span)
+	seen := span * (1 - math.Exp(-float64(now-m.start)/span))
+	return n / max(seen, 1)
+}
