--- a/logic/logic.go
+++ b/logic/logic.go
@@ -808,4 +808,3 @@
 	}
 	return c.tenants[tenant].rate(c.now, rateSpan)*c.facts.num("Balancers") > overShare*quota
 }
-
