--- a/logic/logic.go
+++ b/logic/logic.go
@@ -331,8 +331,7 @@
 	if n < fewAnswers {
 		return now
 	}
-	c.best *= math.Exp(float64(c.now-c.bestAt) * bestCreep)
-	if c.best == 0 || now < c.best {
+	if c.best *= math.Exp(min(1, float64(c.now-c.bestAt)*bestCreep)); c.best == 0 || now < c.best {
 		c.best = now
 	}
 	c.bestAt = c.now
