--- /dev/null
+++ b/logic/scenario_test.go
@@ -0,0 +1,239 @@
+package logic
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The notation is told in testdata/README. Two sets of shards; type 0 needs 60% of its parts, type 1 all.
+const usualFacts = `Tick=5 Balancers=2 Specifics.Sets=2 Specifics.Reach=1 Specifics.PerCall=1 Classes.count=2
+Classes.0.Aim=1500 Classes.0.Deadline=4000 Classes.0.Effect=retryable Classes.0.LateShare=0.3
+Classes.1.Aim=1500 Classes.1.Deadline=4000 Classes.1.Effect=retryable Classes.1.LateShare=0.3
+Specifics.NeedByClass=0.6,1 Specifics.ClassFloor=0.6,1 Specifics.FollowUp=0,0 Permissions.MaxAttempts=3
+Permissions.SecondCopies=true Permissions.Cancelling=true Permissions.RetryAfter=true
+Permissions.MaxRetryAfter=500 Safety.Cold=10000 Safety.ColdFrom=0.2 Safety.FallMultiple=2 Safety.Fall=2000
+Safety.DrainGrace=1000`
+
+type due struct {
+	at int64
+	do func()
+}
+
+type stage struct {
+	t       *testing.T
+	c       Coordinator
+	now     int64
+	acts    []string
+	later   []due
+	facts   map[string]string
+	replies map[string][]string
+	legs    map[uint64]int
+	owner   map[uint64]uint64 // part to search
+	finals  map[uint64]int    // final answers still owed
+	next    uint64
+	steps   map[uint64]string // shards of the second step, by search
+}
+
+func (s *stage) act(format string, v ...any) { s.acts = append(s.acts, fmt.Sprintf(format, v...)) }
+func (s *stage) plan(wait int64, do func())  { s.later = append(s.later, due{s.now + wait, do}) }
+func (s *stage) Cancel(part uint64, leg int) {
+	s.act("cancel %d.%d", part, leg)
+	s.end(part, leg, "Canceled", 10)
+}
+func (s *stage) Wake(wait int64, label uint64)     { s.plan(wait, func() { s.c.Timer(label) }) }
+func (s *stage) Probe(replica string)              { s.act("probe %s", replica) }
+func (s *stage) Watch()                            { s.act("watch") }
+func (s *stage) Note(text string)                  { s.act("note %s", text) }
+func (s *stage) Shed(search uint64, retryIn int64) { s.final(search, "shed") }
+func (s *stage) Error(search uint64)               { s.final(search, "error") }
+
+func (s *stage) final(search uint64, how string) {
+	s.act("%s %d", how, search)
+	s.finals[search]--
+	require.GreaterOrEqual(s.t, s.finals[search], 0, "second final answer to %d", search)
+}
+
+func (s *stage) Answer(search uint64, whole bool) {
+	if shards := s.steps[search]; shards != "" {
+		delete(s.steps, search)
+		s.act("first %d %v", search, whole)
+		s.plan(50, func() { s.parts(search, search*100+50, shards, "") })
+		return
+	}
+	s.final(search, fmt.Sprintf("answer %v", whole))
+}
+
+func (s *stage) Send(part uint64, replica string, timeout int64) {
+	s.act("send %d %s", part, replica)
+	require.Positive(s.t, s.finals[s.owner[part]], "part %d sent after the final answer", part)
+	leg := s.legs[part]
+	s.legs[part]++
+	if r := s.replies[replica]; r != nil {
+		s.end(part, leg, r[0], s.num(r[1])*10)
+	} else {
+		s.end(part, leg, "TimedOut", timeout)
+	}
+}
+
+func (s *stage) end(part uint64, leg int, ending string, wait int64) {
+	sent := s.now
+	s.plan(wait, func() { s.c.Outcome(part, leg, ending, s.now-sent, false, nil) })
+}
+
+func (s *stage) num(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	require.NoError(s.t, err)
+	return n
+}
+
+// to plays what is due until then, one turn for each moment.
+func (s *stage) to(at int64) {
+	for {
+		sort.SliceStable(s.later, func(i, j int) bool { return s.later[i].at < s.later[j].at })
+		if len(s.later) == 0 || s.later[0].at > at {
+			s.now = at
+			return
+		}
+		s.now = s.later[0].at
+		s.turn(func() {
+			for len(s.later) > 0 && s.later[0].at == s.now {
+				do := s.later[0].do
+				s.later = s.later[1:]
+				do()
+			}
+		})
+	}
+}
+
+func (s *stage) turn(do func()) {
+	s.c.Clock(s.now)
+	do()
+	s.c.EndOfBatch()
+}
+
+func (s *stage) parts(search, first uint64, shards, weights string) {
+	list := strings.Split(shards, ",")
+	for i, shard := range list {
+		w := 1 / float64(len(list))
+		if weights != "" {
+			w, _ = strconv.ParseFloat(strings.Split(weights, ",")[i], 64)
+		}
+		s.owner[first+uint64(i)] = search
+		s.c.Part(first+uint64(i), search, int(s.num(shard)), w)
+	}
+}
+
+// search takes "ID type grace shards [weights]".
+func (s *stage) search(id uint64, w []string) {
+	w = append(w, "")
+	s.finals[id] = 1
+	s.turn(func() {
+		s.c.Search(id, int(s.num(w[0])), 0, "-", s.num(w[1])*10, id, strings.Count(w[2], ",")+1, false)
+		s.parts(id, id*100, w[2], w[3])
+	})
+}
+
+func (s *stage) list(how string, entries []string) {
+	for _, e := range entries {
+		f := append(strings.Split(e, "/"), "healthy", "0")
+		if len(f) == 5 {
+			f = []string{f[0], f[1], f[2], f[4]}
+		}
+		s.c.Entry(f[0], 0, 0, int(s.num(f[1])), f[2], 1, s.num(f[3])*10)
+	}
+	s.c.ListDone(how, 1)
+}
+
+func (s *stage) line(w []string) {
+	switch w[0] {
+	case "facts":
+		for _, f := range w[1:] {
+			name, value, _ := strings.Cut(f, "=")
+			s.facts[name] = value
+		}
+	case "start":
+		s.turn(func() { s.c.Start(7, s.facts); s.list("Persisted", w[1:]) })
+	case "list":
+		s.turn(func() { s.list(w[1], w[2:]) })
+	case "when":
+		s.replies[w[1]] = w[2:]
+	case "silent":
+		delete(s.replies, w[1])
+	case "at":
+		s.to(s.num(w[1]) * 10)
+	case "search":
+		s.search(uint64(s.num(w[1])), w[2:])
+	case "steady": // COUNT EVERY type grace shards
+		for range s.num(w[1]) {
+			s.next++
+			s.search(1000+s.next, w[3:])
+			s.to(s.now + s.num(w[2])*10)
+		}
+	case "second":
+		s.steps[uint64(s.num(w[1]))] = w[2]
+	case "withdraw":
+		s.finals[uint64(s.num(w[1]))] = 0
+		s.turn(func() { s.c.Withdrawn(uint64(s.num(w[1]))) })
+	case "mark":
+		s.acts = nil
+	case "expect": // LEAST[-MOST] PATTERN
+		low, high, both := strings.Cut(w[1], "-")
+		if !both {
+			high = low
+		}
+		re, n := regexp.MustCompile("^"+strings.Join(w[2:], " ")+"$"), int64(0)
+		for _, a := range s.acts {
+			if re.MatchString(a) {
+				n++
+			}
+		}
+		require.True(s.t, s.num(low) <= n && n <= s.num(high), "%d of %v in %q", n, w, s.acts)
+	default:
+		s.t.Fatalf("unknown line %v", w)
+	}
+}
+
+func play(t *testing.T, text string) []string {
+	s := &stage{t: t, facts: map[string]string{}, replies: map[string][]string{}, legs: map[uint64]int{}, now: 10,
+		owner: map[uint64]uint64{}, finals: map[uint64]int{}, steps: map[uint64]string{}}
+	s.c = New(s)
+	s.line(append([]string{"facts"}, strings.Fields(usualFacts)...))
+	var all []string
+	for _, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		if w := strings.Fields(line); len(w) > 0 {
+			if w[0] == "mark" {
+				all = append(all, s.acts...)
+			}
+			s.line(w)
+		}
+	}
+	s.to(s.now + 100_000)
+	for id, owed := range s.finals {
+		require.Zero(t, owed, "search %d has no final answer", id)
+	}
+	return append(all, s.acts...)
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		require.NoError(t, err)
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			first := play(t, string(text))
+			require.True(t, slices.Equal(first, play(t, string(text))), "same events, other actions")
+		})
+	}
+}
