A cap for each replica, searches that stand aside, cold share by answers

Each replica's own part of the slots now shrinks with its answers, parts and searches beyond it stand aside, and cold replicas get what the busiest warm one answers times what they can surely do. Guards against any bottleneck of one shard; harm: on unequal machines the strong one may be held back.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -43,7 +43,8 @@
 
 type fault struct{ text string }
 
-// Serve answers batches until the input ends. A malformed line ends it with an error that names batch and line.
+// Serve answers batches until the input ends. A malformed line ends it with an error that names batch and
+// line.
 func Serve(in io.Reader, out io.Writer) (err error) {
 	l := &link{in: bufio.NewReaderSize(in, 1<<16), out: bufio.NewWriterSize(out, 1<<16),
 		sets: map[int][]entry{}, instances: map[int]*instance{}, batch: "-"}
@@ -163,7 +164,8 @@
 	panic(fault{fmt.Sprintf("value %d, %q, is neither 1 nor 0", i+1, f[i])})
 }
 
-// report reads name:value pairs; a value that is no number is a fault, a name not known is the module's to skip.
+// report reads name:value pairs; a value that is no number is a fault, a name not known is the module's to
+// skip.
 func (f fields) report(i int) map[string]float64 {
 	if f[i] == "-" || f[i] == "" {
 		return nil
@@ -252,8 +254,8 @@
 }
 
 // wants says how many values the events of one instance have.
-var wants = map[string]int{"members": 4, "inbound": 11, "first_byte": 5, "returned": 8, "withdrawn": 2, "fired": 2,
-	"checked": 5, "mail": 3}
+var wants = map[string]int{"members": 4, "inbound": 11, "first_byte": 5, "returned": 8, "withdrawn": 2,
+	"fired": 2, "checked": 5, "mail": 3}
 
 func (l *link) event(name, text string) {
 	n, ok := wants[name]
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -1,7 +1,7 @@
 package logic
 
-// Coordinator is what a protocol calls. Times are whole tenths of a millisecond, ids are the protocol's own.
-// A turn is: Clock, any number of the calls between, EndOfBatch. One goroutine at a time.
+// Coordinator is what a protocol calls. Times are whole tenths of a millisecond, ids are the protocol's
+// own. A turn is: Clock, any number of the calls between, EndOfBatch. One goroutine at a time.
 type Coordinator interface {
 	// Clock starts a turn at the time now.
 	Clock(now int64)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,14 +1,15 @@
-// Package logic decides for one co-ordinator: which searches wait, how many parts are sent, to whom, what is sent
-// again, and when the answer goes out. A protocol makes one with New, hands it events by the calls of Coordinator
-// and carries out what it asks by Out; both stand in iface.go. Nothing happens but in such a call, and the same
-// calls give the same actions. docs/design.md tells what is TOFEC's and what departs from it.
+// Package logic decides for one co-ordinator: which searches wait, how many parts are sent, to whom, what
+// is sent again, and when the answer goes out. A protocol makes one with New, hands it events by the calls
+// of Coordinator and carries out what it asks by Out; both stand in iface.go. Nothing happens but in such a
+// call, and the same calls give the same actions. docs/design.md tells what is TOFEC's and what departs
+// from it.
 package logic
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 )
 
 // Times are tenths of a millisecond.
@@ -16,30 +17,33 @@
 	slotsPerReplica = 4    // parts in flight for each listed replica: the design's starting value
 	memory          = 0.99 // weight of the old backlog at an arrival: the paper's memory factor
 
-	paceSpan   = 40_000    // decay of answer times: some ten answers of one replica, yet forgets within a trouble
+	paceSpan   = 40_000    // decay of answer times: ten answers of one replica, yet within a trouble
 	rateSpan   = 30_000    // decay of rates: long enough for a few dozen parts
+	youngSpan  = 10_000    // a sum younger than this counts as so old: the first few events show no rate
 	fleetSpan  = 20_000    // decay of the common answer time: must follow a slowdown of all within seconds
-	bestCreep  = 1.0 / 3e6 // rise of the shortest answer time for each tenth: e-fold in 5 min, so a lucky low fades
+	bestCreep  = 1.0 / 3e6 // rise of the shortest answer time a tenth: e-fold in 5 min, a lucky low fades
 	fewAnswers = 8         // answers before a mean is believed: below, one odd part sways it
 	firstPace  = 2_000     // answer time assumed before any is known: a search part of 200 ms
 
 	slackRatio = 3.0  // present / shortest answer time at which the slot cap begins to shrink: ordinary queueing
+	oneReplica = 2    // times a replica's part of the slots that it may hold itself: ordinary unevenness
 	leastShare = 0.25 // smallest slot cap, of the start: one part a replica keeps every replica measured
 
-	slowFrom   = 2.2    // answer time over the fleet's from which a replica's parts count for more: beyond chance
+	slowFrom   = 2.2    // answer time over the fleet's that makes a replica's parts count more: beyond chance
 	priorParts = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
-	quietRatio = 4.0    // silence over the fleet's answer time that makes a replica suspect: no ordinary part takes it
+	quietRatio = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
 	quietLeast = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
 	quietTries = 2      // parts unanswered meanwhile: one may simply be long
-	strikeOut  = 3      // errors or refusals in a row that make a replica suspect: single ones happen on good days
+	strikeOut  = 3      // errors or refusals in a row that make a suspect: single ones come on good days
 	trialFirst = 10_000 // first wait before a suspect gets a trial part: a second is a short outage
 	trialMost  = 40_000 // longest such wait: a healed replica is back in use within seconds
 	fullPause  = 1_500  // rest after a refused part: about the time of one part
 
-	copyRatio = 2.5   // part's age over the fleet's answer time at which a second copy goes out: beyond the 95th percentile
-	copyLeast = 1_500 // shortest such age: under it a copy costs more than it brings
-	copyAgain = 1_000 // wait before an overdue part is looked at again
-	copyParts = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
+	copyRatio  = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
+	aloneRatio = 2     // times that age: a part's time-out where no copy may run beside it
+	copyLeast  = 1_500 // shortest such age: under it a copy costs more than it brings
+	copyAgain  = 1_000 // wait before an overdue part is looked at again
+	copyParts  = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
 
 	coldPart  = 0.9    // of the proportionate rate for a cold replica: room for chance
 	coldBurst = 1.0    // parts at once to a cold replica
@@ -65,18 +69,15 @@
 	fresh   []func(keep map[string]bool)
 	held    map[uint64]*search // by id
 	numbers map[uint64]*search
-	parts   map[uint64]*part
 	queue   []*search
 	waiting []*part
 	next    map[uint64]pending // what each sub-request's outcome is handed to, by part and leg
 	wakes   map[uint64]func()
 	label   uint64
 	backlog float64
-	used    int
 	pace    sum // logarithms of answer times
 	best    float64
 	bestAt  int64
-	sends   sum // first sub-requests
 	done    sum // answered parts
 	spell   sum // time of searches from leaving the queue to the answer
 	tenants []sum
@@ -89,8 +90,7 @@
 // New makes the module of one co-ordinator.
 func New(out Out) Coordinator {
 	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
-		numbers: map[uint64]*search{}, parts: map[uint64]*part{}, next: map[uint64]pending{},
-		wakes: map[uint64]func(){}, askWait: askFirst}
+		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){}, askWait: askFirst}
 }
 
 func (c *coordinator) Clock(now int64) { c.now = now }
@@ -122,6 +122,10 @@
 	}
 }
 
+func (c *coordinator) effect(s *search) string { return c.facts[of("Classes", s.qtype, "Effect")] }
+
+func (c *coordinator) maxTries() int { return int(c.facts.opt("Permissions.MaxAttempts", 1)) }
+
 // The list.
 
 func (c *coordinator) Entry(id string, zone, kind, cell int, status string, units float64, since int64) {
@@ -176,10 +180,10 @@
 func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
 	retry bool) {
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
-	s := &search{id: id, number: number, qtype: qtype, tenant: tenant, came: c.now, step: 1, counted: count}
+	s := &search{id: id, number: number, qtype: qtype, tenant: tenant, came: c.now, step: 1}
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
 	s.useful = c.now + min(c.facts.span(of("Classes", qtype, "Aim")), grace) - c.facts.span("Tick")
-	s.need = c.share("Specifics.NeedByClass", qtype)
+	s.need = c.facts.nth("Specifics.NeedByClass", qtype, 1)
 	c.held[id], c.numbers[number] = s, s
 	c.taken = append(c.taken, c.now)
 	if tenant < len(c.tenants) {
@@ -199,7 +203,6 @@
 		return
 	}
 	p := &part{id: id, s: s, shard: shard, weight: weight}
-	c.parts[id] = p
 	s.parts = append(s.parts, p)
 	s.most += weight
 	if s.step == 2 {
@@ -218,17 +221,20 @@
 // Leaving the queue.
 
 func (c *coordinator) EndOfBatch() {
-	for c.sendWaiting() && len(c.queue) > 0 && c.used < c.slots() {
-		s := c.queue[0]
-		c.queue = c.queue[1:]
-		if s.over {
+	for i := 0; c.sendWaiting() && i < len(c.queue) && c.inFlight() < c.slots(); {
+		s := c.queue[i]
+		switch {
+		case s.over:
+		case c.blocked(s):
+			i++
+			c.parked = true
 			continue
-		}
-		if s.came < c.now && c.late(s, 0) {
+		case s.came < c.now && c.late(s, 0):
 			c.shed(s)
-			continue
+		default:
+			c.open(s)
 		}
-		c.open(s)
+		c.queue = slices.Delete(c.queue, i, i+1)
 	}
 	c.trim()
 	if c.parked {
@@ -237,21 +243,41 @@
 	}
 }
 
+// blocked tells whether parts that a whole answer needs have no replica to go to: the search stands aside
+// then.
+func (c *coordinator) blocked(s *search) bool {
+	can := 0.0
+	for _, p := range s.parts {
+		if c.pick(p, false) != nil {
+			can += p.weight
+		}
+	}
+	return can < s.need-1e-4
+}
+
+// inFlight counts own parts out. Those on suspect replicas hold no slot: silence must not stop the others.
+func (c *coordinator) inFlight() int {
+	n := 0
+	for _, r := range c.list {
+		if !c.suspect(r) {
+			n += len(r.tries)
+		}
+	}
+	return n
+}
+
 // open lets a search leave the queue: the needed parts and the extras that the backlog grants.
 func (c *coordinator) open(s *search) {
 	s.left = c.now
 	order := slices.Clone(s.parts)
 	c.chance.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	hard := map[*part]bool{}
+	ease := map[*part]float64{} // those that can go now come first, then the heavier
 	for _, p := range order {
-		hard[p] = c.pick(p, false) == nil
-	}
-	sort.SliceStable(order, func(i, j int) bool {
-		if hard[order[i]] != hard[order[j]] {
-			return hard[order[j]]
+		if ease[p] = p.weight; c.pick(p, false) != nil {
+			ease[p]++
 		}
-		return order[i].weight > order[j].weight
-	})
+	}
+	slices.SortStableFunc(order, func(p, q *part) int { return cmp.Compare(ease[q], ease[p]) })
 	have, n := 0.0, 0
 	for n < len(order) && have < s.need-1e-4 {
 		have += order[n].weight
@@ -267,17 +293,14 @@
 }
 
 func (c *coordinator) ask(p *part) {
-	if !p.asked {
-		p.asked = true
-	}
 	if !p.queued {
 		p.queued = true
 		c.waiting = append(c.waiting, p)
 	}
 }
 
-// sendWaiting sends parts in turn and tells whether none is left that a free slot would serve. A part that no
-// replica may take just now (cold, draining) stands aside: it must not hold up the queue.
+// sendWaiting sends parts in turn and tells whether none is left that a free slot would serve. A part that
+// no replica may take just now (cold, draining) stands aside: it must not hold up the queue.
 func (c *coordinator) sendWaiting() bool {
 	rest := c.waiting[:0]
 	free := true
@@ -286,7 +309,7 @@
 			p.queued = false
 			continue
 		}
-		if c.used >= c.slots() {
+		if c.inFlight() >= c.slots() {
 			rest, free = append(rest, c.waiting[i:]...), false
 			break
 		}
@@ -303,8 +326,8 @@
 	return free
 }
 
-// slots is the cap of parts in flight. It starts at the design's value and follows shortest / present answer time
-// once that falls below 1/slackRatio: parts beyond it would only wait at the replicas.
+// slots is the cap of parts in flight. It starts at the design's value and follows shortest / present
+// answer time once that falls below 1/slackRatio: parts beyond it would only wait at the replicas.
 func (c *coordinator) slots() int {
 	n := 0
 	for _, r := range c.list {
@@ -340,12 +363,13 @@
 
 // Replicas.
 
-// pick chooses the replica for a part: fewest own calls out, ties by chance. other asks for one not tried yet.
+// pick chooses the replica for a part: fewest own calls out, ties by chance. other asks for one not tried
+// yet.
 func (c *coordinator) pick(p *part, other bool) *replica {
 	var best *replica
 	least, ties := math.Inf(1), 0
 	for _, r := range c.list {
-		if !r.open || !c.holds(r, p.shard) || !c.coldRoom(r) {
+		if !r.open || !c.holds(r, p.shard) || !c.room(r) || !c.coldRoom(r) {
 			continue
 		}
 		load := c.load(r)
@@ -353,7 +377,7 @@
 			// Guards against replicas that take parts and answer none, or refuse: used only where nothing else
 			// holds the shard, but for a trial part now and then, so that suspicion heals.
 			load += 1e6
-			if c.now >= r.trialAt && !other && c.facts[of("Classes", p.s.qtype, "Effect")] == "retryable" {
+			if c.now >= r.trialAt && !other && c.effect(p.s) == "retryable" {
 				load = -1
 			}
 		} else if c.now < r.pauseTo {
@@ -377,8 +401,16 @@
 	return best
 }
 
-// load is the count of own calls out. On a replica far slower than the fleet each counts as many times as it is
-// slower: counts alone would go on filling it as fast as the others drain.
+// room guards against piling up on the one sound holder of a shard: a replica's own part of the slots
+// shrinks with its answers as the cap does with all answers. Parts beyond it stand aside, as do searches
+// that need them.
+func (c *coordinator) room(r *replica) bool {
+	share := min(1, slackRatio*c.shortest()/(c.common()*c.slowness(r)))
+	return float64(len(r.tries)) < max(1, oneReplica*slotsPerReplica*share)
+}
+
+// load is the count of own calls out. On a replica far slower than the fleet each counts as many times as
+// it is slower: counts alone would go on filling it as fast as the others drain.
 func (c *coordinator) load(r *replica) float64 {
 	n := float64(r.calls)
 	if slow := c.slowness(r); slow > slowFrom {
@@ -406,16 +438,23 @@
 	return r.quiet >= quietTries && float64(c.now-r.quietSince) > max(quietLeast, quietRatio*c.common())
 }
 
-// coldRoom guards against pushing over a replica that has just started: it gets the share of an ordinary
-// replica's parts that it can surely do by now. Also guards against own bursts after a fail-over.
+// coldRoom guards against pushing over a replica that has just started: it gets that share of what own
+// parts the busiest warm replica answers which it can surely do by now. Also guards against own bursts
+// after a fail-over.
 func (c *coordinator) coldRoom(r *replica) bool {
 	cold := c.facts.span("Safety.Cold")
-	if r.since == 0 || c.now >= r.since+cold {
+	warm := func(r *replica) bool { return r.since == 0 || c.now >= r.since+cold }
+	if warm(r) {
 		return true
 	}
 	from := c.facts.opt("Safety.ColdFrom", 0)
 	can := from + (1-from)*float64(max(0, c.now-r.since))/float64(cold)
-	rate := c.sends.rate(c.now, rateSpan) / float64(max(1, len(c.list)))
+	rate := 0.0
+	for _, o := range c.list {
+		if o.open && warm(o) {
+			rate = max(rate, o.pace.rate(c.now, paceSpan, youngSpan))
+		}
+	}
 	r.credit = min(coldBurst, r.credit+coldPart*can*rate*float64(c.now-r.creditAt))
 	r.creditAt = c.now
 	return r.credit >= 1
@@ -428,7 +467,7 @@
 	if len(p.tries) == 0 {
 		return true
 	}
-	if len(p.tries) >= int(c.facts.opt("Permissions.MaxAttempts", 1)) || !c.mayRepeat(p) {
+	if len(p.tries) >= c.maxTries() || !c.mayRepeat(p) {
 		return false
 	}
 	span := c.facts.span("Safety.LookBack")
@@ -451,7 +490,7 @@
 		slices.ContainsFunc(p.tries, func(t *try) bool { return !t.settled }) {
 		return false
 	}
-	effect := c.facts[of("Classes", p.s.qtype, "Effect")]
+	effect := c.effect(p.s)
 	for _, t := range p.tries {
 		if !t.maybe && t.settled || effect == "retryable" {
 			continue
@@ -465,9 +504,7 @@
 
 func (c *coordinator) send(p *part, r *replica) {
 	t := &try{p: p, r: r, leg: len(p.tries), sent: c.now, out: true}
-	if t.leg == 0 {
-		c.sends.add(c.now, rateSpan, 1)
-	} else {
+	if t.leg > 0 {
 		c.further = append(c.further, c.now)
 		p.s.copies++
 	}
@@ -488,40 +525,30 @@
 	}
 	r.quiet++
 	p.tries, r.tries = append(p.tries, t), append(r.tries, t)
-	c.used++
 	patience := p.s.due - c.now + answerPad
-	if !c.facts.yes("Permissions.SecondCopies") && len(p.tries) < int(c.facts.opt("Permissions.MaxAttempts", 1)) &&
-		c.facts[of("Classes", p.s.qtype, "Effect")] != "fragile" {
-		patience = min(patience, c.overdueAfter()*2) // no copy beside it: it ends, then goes to another
-	}
-	c.out.Send(p.id, r.id, patience)
-	c.next[p.id<<8|uint64(t.leg)] = func(ending string, wait int64) { c.landed(t, ending, wait) }
 	if c.facts.yes("Permissions.SecondCopies") {
 		c.after(c.overdueAfter(), func() { c.overdue(t) })
+	} else if len(p.tries) < c.maxTries() && c.effect(p.s) != "fragile" {
+		patience = min(patience, aloneRatio*c.overdueAfter())
 	}
+	c.out.Send(p.id, r.id, patience)
+	c.next[p.id<<8|uint64(t.leg)] = func(ending string, wait int64) { c.landed(t, ending, wait) }
 }
 
 func (c *coordinator) overdueAfter() int64 { return int64(max(copyLeast, copyRatio*c.common())) }
 
-// overdue guards against every kind of silence or slowness of one replica, whatever its cause: a part that takes
-// far longer than parts do now gets a second copy elsewhere. It does harm where the part itself is heavy.
+// overdue guards against every kind of silence or slowness of one replica, whatever its cause: a part that
+// takes far longer than parts do now gets a second copy elsewhere. It does harm where the part itself is
+// heavy.
 func (c *coordinator) overdue(t *try) {
 	p := t.p
 	if t.settled || p.s.over || p.in || p.dead {
 		return
 	}
-	again := func() { c.after(copyAgain, func() { c.overdue(t) }) }
-	ours := 0
-	for _, q := range p.s.parts {
-		if q.asked {
-			ours++
-		}
-	}
 	r := c.pick(p, true)
-	sound := r != nil && !c.suspect(r)
-	if !sound || !c.mayTry(p) || p.queued || !c.lacking(p.s) ||
-		!c.suspect(t.r) && (len(c.queue) > 0 || float64(p.s.copies) >= math.Ceil(copyParts*float64(ours))) {
-		again()
+	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !c.lacking(p.s) || !c.suspect(t.r) &&
+		(len(c.queue) > 0 || float64(p.s.copies) >= math.Ceil(copyParts*float64(len(p.s.parts)))) {
+		c.after(copyAgain, func() { c.overdue(t) })
 		return
 	}
 	c.send(p, r)
@@ -554,7 +581,6 @@
 		return
 	}
 	t.out = false
-	c.used--
 	if t.c.out--; t.c.out == 0 {
 		t.r.calls--
 	}
@@ -573,7 +599,8 @@
 		if r.down && r.since+c.facts.span("Safety.Cold") < c.now {
 			r.since, r.credit, r.creditAt = c.now, 0, c.now // it was gone and is back before the list says so
 		}
-		t.maybe, r.quiet, r.strikes, r.down, r.trialGap = true, 0, 0, false, 0
+		t.maybe, r.strikes, r.down, r.trialGap = true, 0, false, 0
+		r.quiet, r.quietSince = len(r.tries), c.now
 		r.pace.add(c.now, paceSpan, pace)
 		c.pace.add(c.now, fleetSpan, pace)
 		c.shortest()
@@ -616,23 +643,28 @@
 		slices.ContainsFunc(p.tries, func(t *try) bool { return !t.settled }) {
 		return
 	}
-	if len(p.tries) < int(c.facts.opt("Permissions.MaxAttempts", 1)) && c.mayRepeat(p) {
+	if len(p.tries) < c.maxTries() && c.mayRepeat(p) {
 		c.ask(p)
 		return
 	}
 	p.dead = true
 	s.most -= p.weight
 	for _, q := range s.parts { // an unsent part may stand in
-		if !q.asked {
+		if len(q.tries) == 0 && !q.queued && !q.dead {
 			c.ask(q)
 			break
 		}
 	}
-	if s.most < s.need-1e-4 && s.most < c.floor(s)-1e-4 {
+	if c.check(s); !s.over && s.most < s.need-1e-4 && !c.hopeful(s) {
 		c.giveUp(s)
-		return
 	}
-	c.check(s)
+}
+
+// hopeful tells whether what is in and what may still come would do for an answer.
+func (c *coordinator) hopeful(s *search) bool {
+	best := *s
+	best.in = s.most
+	return c.enough(&best)
 }
 
 func (c *coordinator) cancel(t *try) {
@@ -650,28 +682,18 @@
 
 // Final answers.
 
-func (c *coordinator) share(list string, qtype int) float64 {
-	if v, ok := c.facts.nth(list, qtype); ok {
-		return v
+// enough tells whether an answer may go out, marked whole or not: never under the stated least share.
+func (c *coordinator) enough(s *search) bool {
+	least := c.facts.nth("Specifics.ClassFloor", s.qtype, 1)
+	if s.step == 2 && least >= c.facts.nth("Specifics.NeedByClass", s.qtype, 1) {
+		least = 1
 	}
-	return 1
-}
-
-func (c *coordinator) floor(s *search) float64 {
-	floor := min(c.share("Specifics.ClassFloor", s.qtype), s.need)
-	if s.step == 2 && c.share("Specifics.ClassFloor", s.qtype) >= c.share("Specifics.NeedByClass", s.qtype) {
-		return 1
-	}
-	return floor
+	return s.in > 0 && s.in >= min(least+1e-6, s.need-1e-6)
 }
 
 // check answers as soon as enough is in, or when all that can come has come.
 func (c *coordinator) check(s *search) {
-	if s.in >= s.need-1e-6 {
-		c.answer(s)
-		return
-	}
-	if s.most < s.need-1e-4 && s.in >= c.floor(s)+1e-6 && s.in >= s.most-1e-6 {
+	if s.in >= s.need-1e-6 || s.most < s.need-1e-4 && s.in >= s.most-1e-6 && c.enough(s) {
 		c.answer(s)
 	}
 }
@@ -683,8 +705,7 @@
 		c.spell.add(c.now, rateSpan, float64(c.now-s.left))
 	}
 	c.out.Answer(s.id, whole && s.firstWhole)
-	more, _ := c.facts.nth("Specifics.FollowUp", s.qtype)
-	if s.step == 1 && more > 0 {
+	if s.step == 1 && c.facts.nth("Specifics.FollowUp", s.qtype, 0) > 0 {
 		c.drop(s)
 		s.step, s.parts, s.in, s.most, s.need, s.copies = 2, nil, 0, 0, 1, 0
 		return
@@ -699,7 +720,6 @@
 			c.cancel(t)
 		}
 		p.dead = true
-		delete(c.parts, p.id)
 	}
 }
 
@@ -710,33 +730,23 @@
 	delete(c.numbers, s.number)
 }
 
-// giveUp ends a search at once with the best that is true of it.
+// giveUp ends a search at once with the best that is true of it; it sheds only where asking again harms nothing.
 func (c *coordinator) giveUp(s *search) {
-	if s.over {
-		return
-	}
-	if s.in > 0 && s.in >= c.floor(s)+1e-6 {
+	if !s.over && c.enough(s) {
 		c.answer(s)
-		if !s.over {
-			c.refuse(s)
-		}
-		return
 	}
-	c.refuse(s)
-}
-
-// refuse sheds where asking again is harmless, and errs elsewhere.
-func (c *coordinator) refuse(s *search) {
-	if c.harmless(s) {
+	switch {
+	case s.over:
+	case c.harmless(s):
 		c.shed(s)
-		return
+	default:
+		c.out.Error(s.id)
+		c.end(s)
 	}
-	c.out.Error(s.id)
-	c.end(s)
 }
 
 func (c *coordinator) harmless(s *search) bool {
-	if c.facts[of("Classes", s.qtype, "Effect")] == "retryable" {
+	if c.effect(s) == "retryable" {
 		return true
 	}
 	return s.step == 1 && !slices.ContainsFunc(s.parts, func(p *part) bool {
@@ -753,14 +763,14 @@
 	c.end(s)
 }
 
-// pastUse looks at a search whose latency target ends: an answer short of whole goes out where the type allows
-// one, and a search that is worth nothing late makes room.
+// pastUse looks at a search whose latency target ends: an answer short of whole goes out where the type
+// allows one, and a search that is worth nothing late makes room.
 func (c *coordinator) pastUse(s *search) {
-	if s.over {
-		return
-	}
-	late := c.facts.opt(of("Classes", s.qtype, "LateShare"), 0)
-	if s.in > 0 && s.in >= c.floor(s)+1e-6 && s.step == 1 || late <= lateWorth {
+	switch {
+	case s.over:
+	case c.enough(s):
+		c.answer(s)
+	case c.facts.opt(of("Classes", s.qtype, "LateShare"), 0) <= lateWorth:
 		c.giveUp(s)
 	}
 }
@@ -773,13 +783,17 @@
 		if q == s {
 			break
 		}
-		n += len(q.parts)
+		if !q.over {
+			n += len(q.parts)
+		}
 	}
 	return float64(n)
 }
 
+// wait is the time that so many parts take to be answered; while rates are young, by Little's law.
 func (c *coordinator) wait(ahead float64) float64 {
-	return ahead / max(c.done.rate(c.now, rateSpan), 1e-4)
+	rate := max(c.done.rate(c.now, rateSpan, youngSpan), float64(c.inFlight())/c.common())
+	return ahead / max(rate, 1e-4)
 }
 
 // late tells whether a search with so many parts before it would be answered after its target.
@@ -788,16 +802,16 @@
 	return float64(c.now)+c.wait(ahead)+usefulPad*total/(n+1) > float64(s.useful)
 }
 
-// trim guards against overload: what cannot be answered in useful time is turned away while its client can still
-// ask again, and what a tenant sends beyond its share goes first. Harm: a wait judged too long sheds needlessly.
+// trim guards against overload: what cannot be answered in useful time is turned away while its client can
+// still ask again, and what a tenant sends beyond its share goes first. Harm: a wait judged too long sheds
+// needlessly.
 func (c *coordinator) trim() {
-	c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
-	for _, s := range slices.Clone(c.queue) {
-		if c.late(s, c.ahead(s)) || s.came == c.now && c.overQuota(s.tenant) {
+	for _, s := range c.queue {
+		if !s.over && (c.late(s, c.ahead(s)) || s.came == c.now && c.overQuota(s.tenant)) {
 			c.shed(s)
-			c.queue = slices.DeleteFunc(c.queue, func(q *search) bool { return q == s })
 		}
 	}
+	c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
 }
 
 func (c *coordinator) overQuota(tenant int) bool {
@@ -805,5 +819,5 @@
 	if tenant >= len(c.tenants) || quota == 0 {
 		return false
 	}
-	return c.tenants[tenant].rate(c.now, rateSpan)*c.facts.num("Balancers") > overShare*quota
+	return c.tenants[tenant].rate(c.now, rateSpan, youngSpan)*c.facts.num("Balancers") > overShare*quota
 }
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -203,8 +203,8 @@
 }
 
 func play(t *testing.T, text string) []string {
-	s := &stage{t: t, facts: map[string]string{}, replies: map[string][]string{}, legs: map[uint64]int{}, now: 10,
-		owner: map[uint64]uint64{}, finals: map[uint64]int{}, steps: map[uint64]string{}}
+	s := &stage{t: t, facts: map[string]string{}, replies: map[string][]string{}, legs: map[uint64]int{},
+		now: 10, owner: map[uint64]uint64{}, finals: map[uint64]int{}, steps: map[uint64]string{}}
 	s.c = New(s)
 	s.line(append([]string{"facts"}, strings.Fields(usualFacts)...))
 	var all []string
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -6,12 +6,10 @@
 	"strings"
 )
 
-// siteFacts holds what the site told at start, by name. A fact that is needed and missing, or any fact that cannot
-// be read, panics with its name; the protocol reports that and drops the instance.
+// siteFacts holds what the site told at start, by name. A fact that is needed and missing, or any fact that
+// cannot be read, panics with its name; the protocol reports that and drops the instance.
 type siteFacts map[string]string
 
-func (f siteFacts) has(name string) bool { _, ok := f[name]; return ok }
-
 func (f siteFacts) parse(name, text string) float64 {
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || v != v {
@@ -52,17 +50,17 @@
 	}
 }
 
-// nth reads a place in a list of numbers.
-func (f siteFacts) nth(name string, i int) (float64, bool) {
+// nth reads a place in a list of numbers; the list may be missing.
+func (f siteFacts) nth(name string, i int, missing float64) float64 {
 	text, ok := f[name]
 	if !ok {
-		return 0, false
+		return missing
 	}
 	items := strings.Split(text, ",")
 	if i >= len(items) {
 		panic(fmt.Sprintf("setting %s has no place %d", name, i))
 	}
-	return f.parse(name, items[i]), true
+	return f.parse(name, items[i])
 }
 
 // of names a fact of a query type or tenant.
--- a/logic/state.go
+++ b/logic/state.go
@@ -11,7 +11,6 @@
 	step           int
 	firstWhole     bool
 	over           bool
-	counted        int // parts that the step holds
 	parts          []*part
 	in, need, most float64 // weight in, weight for a whole answer, weight that can still come
 	copies         int
@@ -23,7 +22,6 @@
 	s      *search
 	shard  int
 	weight float64
-	asked  bool // chosen to be sent
 	queued bool // waits for a slot
 	in     bool
 	dead   bool
@@ -89,9 +87,9 @@
 	m.n, m.total = m.n+1, m.total+v
 }
 
-// rate is the count for each tenth of a millisecond, true also while the sum is young.
-func (m *sum) rate(now int64, span float64) float64 {
+// rate is the count for each tenth of a millisecond, true also while the sum is young, if not younger than
+// least.
+func (m *sum) rate(now int64, span, least float64) float64 {
 	n, _ := m.read(now, span)
-	seen := span * (1 - math.Exp(-float64(now-m.start)/span))
-	return n / max(seen, 1)
+	return n / (span * (1 - math.Exp(-max(least, float64(now-m.start))/span)))
 }
