--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,7 @@
 	fewAnswers = 8         // answers before a mean is believed: below, one odd part sways it
 	firstPace  = 2_000     // answer time assumed before any is known: a search part of 200 ms
 
-	slackRatio = 3.0  // present / shortest answer time at which the slot cap begins to shrink: ordinary queueing
+	slackRatio = 2.0  // present / shortest answer time at which the slot cap begins to shrink: ordinary queueing
 	oneReplica = 2    // times a replica's part of the slots that it may hold itself: ordinary unevenness
 	leastShare = 0.25 // smallest slot cap, of the start: one part a replica keeps every replica measured
 
