--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	copyAgain  = 1_000 // wait before an overdue part is looked at again
 	copyParts  = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
 
-	coldPart  = 0.9    // of the proportionate rate for a cold replica: room for chance
+	coldPart  = 0.4    // of the stated multiple of what a cold replica can do: the rest is for chance
 	coldBurst = 1.0    // parts at once to a cold replica
 	parkLook  = 200    // wait before parts that no replica may take are looked at again
 	answerPad = 150    // time kept before a client's limit, beside two ticks: the final answer must not be late
@@ -449,13 +449,13 @@
 	}
 	from := c.facts.opt("Safety.ColdFrom", 0)
 	can := from + (1-from)*float64(max(0, c.now-r.since))/float64(cold)
-	rate := 0.0
+	rate, multiple := 0.0, c.facts.opt("Safety.FallMultiple", 1)
 	for _, o := range c.list {
 		if o.open && warm(o) {
 			rate = max(rate, o.pace.rate(c.now, paceSpan, youngSpan))
 		}
 	}
-	r.credit = min(coldBurst, r.credit+coldPart*can*rate*float64(c.now-r.creditAt))
+	r.credit = min(coldBurst, r.credit+coldPart*multiple*can*rate*float64(c.now-r.creditAt))
 	r.creditAt = c.now
 	return r.credit >= 1
 }
@@ -730,7 +730,7 @@
 	delete(c.numbers, s.number)
 }
 
-// giveUp ends a search at once with the best that is true of it; it sheds only where asking again harms nothing.
+// giveUp ends a search at once with the best that is true of it, shedding where asking again harms nothing.
 func (c *coordinator) giveUp(s *search) {
 	if !s.over && c.enough(s) {
 		c.answer(s)
