--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,7 +52,7 @@
 	askFirst  = 5_000  // wait before a failed subscription is asked again
 	askMost   = 80_000 // longest such wait, cut to what the rules allow
 	windowPad = 20     // kept off the windows of rules against rounding
-	usefulPad = 1.1    // spread of a search's time over its mean when asking whether it can still be useful
+	usefulPad = 1.4    // spread of a search's time over its mean when asking whether it can still be useful
 	overShare = 1.2    // times a tenant's share from which it counts as over: rates of few searches swing
 	lateWorth = 0.05   // late share up to which a late answer is not worth going on for
 )
