Parts called off before the fleet's answer time are no sign of silence

Cause: on sound replicas whose extras were called off twice in a row the module saw silence and kept ordinary parts away.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -675,6 +675,9 @@
 		if pace := math.Log(float64(max(1, c.now-t.sent))); pace > math.Log(c.common()) {
 			t.r.pace.add(c.now, paceSpan, pace)
 		}
+		if float64(c.now-t.sent) < c.common() {
+			t.r.quiet = max(0, t.r.quiet-1) // called off before its time: no sign of silence
+		}
 		c.release(t)
 		c.out.Cancel(t.p.id, t.leg)
 	}
