Searches given up count in the time that a search takes

Also guards against any trouble that keeps answers from coming at all. Harm: one hung part makes the estimate long; it acts only while searches wait.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -738,6 +738,9 @@
 	if !s.over && c.enough(s) {
 		c.answer(s)
 	}
+	if !s.over && s.left > 0 && s.step == 1 {
+		c.spell.add(c.now, rateSpan, float64(c.now-s.left)) // took this long at least: answers alone would flatter
+	}
 	switch {
 	case s.over:
 	case c.harmless(s):
