The cap moves by the ratio at each answer

Guards against any queue that stands at the replicas; harm: where answers are slow for a reason that load does not change, throughput is held down to one part a replica.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -77,6 +77,7 @@
 	backlog float64
 	pace    sum // logarithms of answer times
 	best    float64
+	limit   float64
 	bestAt  int64
 	done    sum // answered parts
 	spell   sum // time of searches from leaving the queue to the answer
@@ -90,7 +91,7 @@
 // New makes the module of one co-ordinator.
 func New(out Out) Coordinator {
 	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
-		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){}, askWait: askFirst}
+		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){}, askWait: askFirst, limit: math.Inf(1)}
 }
 
 func (c *coordinator) Clock(now int64) { c.now = now }
@@ -326,21 +327,24 @@
 	return free
 }
 
-// slots is the cap of parts in flight. It starts at the design's value and follows shortest / present
-// answer time once that falls below 1/slackRatio: parts beyond it would only wait at the replicas.
+// slots is the cap of parts in flight: the design's value, less while answers take longer than they can.
 func (c *coordinator) slots() int {
-	n := 0
+	n := 0.0
 	for _, r := range c.list {
 		if r.open {
-			n++
+			n += slotsPerReplica
 		}
 	}
-	count, _ := c.pace.read(c.now, fleetSpan)
-	share := 1.0
-	if count >= fewAnswers {
-		share = min(1, max(leastShare, slackRatio*c.shortest()/c.common()))
-	}
-	return max(1, int(float64(slotsPerReplica*n)*share))
+	c.limit = max(1, leastShare*n, min(n, c.limit))
+	return int(c.limit)
+}
+
+// follow moves the cap at each answer: down by how far shortest / present answer time falls short of
+// 1/slackRatio, up by a little, so that it settles where parts no longer wait long at the replicas.
+func (c *coordinator) follow() {
+	ease := min(1, slackRatio*c.shortest()/c.common())
+	c.limit += ease - 1 + 1/math.Sqrt(c.limit)
+	c.slots()
 }
 
 func (c *coordinator) common() float64 {
@@ -603,7 +607,7 @@
 		r.quiet, r.quietSince = len(r.tries), c.now
 		r.pace.add(c.now, paceSpan, pace)
 		c.pace.add(c.now, fleetSpan, pace)
-		c.shortest()
+		c.follow()
 		c.done.add(c.now, rateSpan, 1)
 		if !p.in && !p.dead && !s.over {
 			p.in = true
