Buckets of tenants' shares, shorter targets for marked new tries

Cause: all searches of a tenant over its share were shed, and clients' new tries, whose target had mostly gone by, took the slots of first tries. Guards also against any tenant that floods; harm: where traffic is spread unevenly over co-ordinators, a busy one sees shares as smaller than they are, while searches wait.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,7 +53,8 @@
 	askMost   = 80_000 // longest such wait, cut to what the rules allow
 	windowPad = 20     // kept off the windows of rules against rounding
 	usefulPad = 1.4    // spread of a search's time over its mean when asking whether it can still be useful
-	overShare = 1.2    // times a tenant's share from which it counts as over: rates of few searches swing
+	shareSpan = 20_000 // of a tenant's rate that may come at once: bursts of a few seconds are within its share
+	retryLeft = 0.5    // of the latency target left to a client's new try: its first was shed early or came late
 	lateWorth = 0.05   // late share up to which a late answer is not worth going on for
 )
 
@@ -81,7 +82,7 @@
 	bestAt  int64
 	done    sum // answered parts
 	spell   sum // time of searches from leaving the queue to the answer
-	tenants []sum
+	tenants []bucket
 	taken   []int64 // searches and parts taken in the budget's window
 	further []int64 // further sub-requests in it
 	askWait int64
@@ -91,7 +92,8 @@
 // New makes the module of one co-ordinator.
 func New(out Out) Coordinator {
 	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
-		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){}, askWait: askFirst, limit: math.Inf(1)}
+		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){},
+		askWait: askFirst, limit: math.Inf(1)}
 }
 
 func (c *coordinator) Clock(now int64) { c.now = now }
@@ -104,7 +106,7 @@
 		c.facts.num(of("Classes", q, "Aim"))
 		c.facts.num(of("Classes", q, "Deadline"))
 	}
-	c.tenants = make([]sum, int(c.facts.opt("Tenants.count", 0)))
+	c.tenants = make([]bucket, int(c.facts.opt("Tenants.count", 0)))
 	if c.facts["Discovery"] == "subscribe" {
 		c.out.Watch()
 	}
@@ -163,11 +165,8 @@
 	for _, enter := range entries {
 		enter(keep)
 	}
-	if how == "Partial" {
-		return
-	}
 	for _, r := range c.list {
-		r.open = r.open && keep[r.id]
+		r.open = r.open && (how == "Partial" || keep[r.id])
 	}
 }
 
@@ -183,13 +182,15 @@
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
 	s := &search{id: id, number: number, qtype: qtype, tenant: tenant, came: c.now, step: 1}
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
-	s.useful = c.now + min(c.facts.span(of("Classes", qtype, "Aim")), grace) - c.facts.span("Tick")
+	useful := c.facts.span(of("Classes", qtype, "Aim"))
+	if retry {
+		useful = int64(float64(useful) * retryLeft) // the client has waited since its first try
+	}
+	s.useful = c.now + min(useful, grace) - c.facts.span("Tick")
 	s.need = c.facts.nth("Specifics.NeedByClass", qtype, 1)
 	c.held[id], c.numbers[number] = s, s
 	c.taken = append(c.taken, c.now)
-	if tenant < len(c.tenants) {
-		c.tenants[tenant].add(c.now, rateSpan, 1)
-	}
+	s.beyond = !retry && c.beyond(tenant)
 	c.queue = append(c.queue, s)
 	c.after(s.due-c.now, func() { c.giveUp(s) })
 	if s.useful < s.due {
@@ -303,8 +304,7 @@
 // sendWaiting sends parts in turn and tells whether none is left that a free slot would serve. A part that
 // no replica may take just now (cold, draining) stands aside: it must not hold up the queue.
 func (c *coordinator) sendWaiting() bool {
-	rest := c.waiting[:0]
-	free := true
+	rest, free := c.waiting[:0], true
 	for i, p := range c.waiting {
 		if p.s.over || p.in || p.dead {
 			p.queued = false
@@ -314,14 +314,13 @@
 			rest, free = append(rest, c.waiting[i:]...), false
 			break
 		}
-		r := c.pick(p, len(p.tries) > 0)
-		if r == nil || !c.mayTry(p) {
-			c.parked = true
-			rest = append(rest, p)
+		if r := c.pick(p, len(p.tries) > 0); r != nil && c.mayTry(p) {
+			p.queued = false
+			c.send(p, r)
 			continue
 		}
-		p.queued = false
-		c.send(p, r)
+		c.parked = true
+		rest = append(rest, p)
 	}
 	c.waiting = rest
 	return free
@@ -387,10 +386,10 @@
 		} else if c.now < r.pauseTo {
 			load += 1e5
 		}
-		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r && (t.out || !t.settled) }) {
+		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r && !t.settled }) {
 			continue
 		}
-		if other && slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r }) {
+		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r }) {
 			load += 1e4
 		}
 		switch {
@@ -478,13 +477,8 @@
 	if span == 0 {
 		return true
 	}
-	prune := func(at []int64, from int64) []int64 {
-		for len(at) > 0 && at[0] < from {
-			at = at[1:]
-		}
-		return at
-	}
-	c.taken, c.further = prune(c.taken, c.now-span+windowPad), prune(c.further, c.now-span-windowPad)
+	c.taken = slices.DeleteFunc(c.taken, func(at int64) bool { return at < c.now-span+windowPad })
+	c.further = slices.DeleteFunc(c.further, func(at int64) bool { return at < c.now-span-windowPad })
 	room := c.facts.opt("Safety.ExtraFloor", 0) + c.facts.opt("Safety.FurtherRatio", 0)*float64(len(c.taken))
 	return float64(len(c.further)+1) <= room
 }
@@ -659,48 +653,38 @@
 			break
 		}
 	}
-	if c.check(s); !s.over && s.most < s.need-1e-4 && !c.hopeful(s) {
+	if c.check(s); !s.over && s.most < s.need-1e-4 && !c.enough(s, s.most) {
 		c.giveUp(s)
 	}
 }
 
-// hopeful tells whether what is in and what may still come would do for an answer.
-func (c *coordinator) hopeful(s *search) bool {
-	best := *s
-	best.in = s.most
-	return c.enough(&best)
-}
-
 func (c *coordinator) cancel(t *try) {
-	if t.settled || !c.facts.yes("Permissions.Cancelling") {
+	if !t.out || !c.facts.yes("Permissions.Cancelling") {
 		return
 	}
-	if t.out {
-		if pace := math.Log(float64(max(1, c.now-t.sent))); pace > math.Log(c.common()) {
-			t.r.pace.add(c.now, paceSpan, pace)
-		}
-		if float64(c.now-t.sent) < c.common() {
-			t.r.quiet = max(0, t.r.quiet-1) // called off before its time: no sign of silence
-		}
-		c.release(t)
-		c.out.Cancel(t.p.id, t.leg)
+	if age := float64(c.now - t.sent); age > c.common() {
+		t.r.pace.add(c.now, paceSpan, math.Log(age))
+	} else {
+		t.r.quiet = max(0, t.r.quiet-1) // called off before its time: no sign of silence
 	}
+	c.release(t)
+	c.out.Cancel(t.p.id, t.leg)
 }
 
 // Final answers.
 
-// enough tells whether an answer may go out, marked whole or not: never under the stated least share.
-func (c *coordinator) enough(s *search) bool {
+// enough tells whether an answer may go out from so much, marked whole or not: never under the least share.
+func (c *coordinator) enough(s *search, have float64) bool {
 	least := c.facts.nth("Specifics.ClassFloor", s.qtype, 1)
 	if s.step == 2 && least >= c.facts.nth("Specifics.NeedByClass", s.qtype, 1) {
 		least = 1
 	}
-	return s.in > 0 && s.in >= min(least+1e-6, s.need-1e-6)
+	return have > 0 && have >= min(least+1e-6, s.need-1e-6)
 }
 
 // check answers as soon as enough is in, or when all that can come has come.
 func (c *coordinator) check(s *search) {
-	if s.in >= s.need-1e-6 || s.most < s.need-1e-4 && s.in >= s.most-1e-6 && c.enough(s) {
+	if s.in >= s.need-1e-6 || s.most < s.need-1e-4 && s.in >= s.most-1e-6 && c.enough(s, s.in) {
 		c.answer(s)
 	}
 }
@@ -739,7 +723,7 @@
 
 // giveUp ends a search at once with the best that is true of it, shedding where asking again harms nothing.
 func (c *coordinator) giveUp(s *search) {
-	if !s.over && c.enough(s) {
+	if !s.over && c.enough(s, s.in) {
 		c.answer(s)
 	}
 	if !s.over && s.left > 0 && s.step == 1 {
@@ -759,9 +743,9 @@
 	if c.effect(s) == "retryable" {
 		return true
 	}
-	return s.step == 1 && !slices.ContainsFunc(s.parts, func(p *part) bool {
-		return slices.ContainsFunc(p.tries, func(t *try) bool { return t.maybe || !t.settled })
-	})
+	ran := func(t *try) bool { return t.maybe || !t.settled }
+	may := func(p *part) bool { return slices.ContainsFunc(p.tries, ran) }
+	return s.step == 1 && !slices.ContainsFunc(s.parts, may)
 }
 
 func (c *coordinator) shed(s *search) {
@@ -778,7 +762,7 @@
 func (c *coordinator) pastUse(s *search) {
 	switch {
 	case s.over:
-	case c.enough(s):
+	case c.enough(s, s.in):
 		c.answer(s)
 	case c.facts.opt(of("Classes", s.qtype, "LateShare"), 0) <= lateWorth:
 		c.giveUp(s)
@@ -817,17 +801,26 @@
 // needlessly.
 func (c *coordinator) trim() {
 	for _, s := range c.queue {
-		if !s.over && (c.late(s, c.ahead(s)) || s.came == c.now && c.overQuota(s.tenant)) {
+		if !s.over && (c.late(s, c.ahead(s)) || s.beyond) {
 			c.shed(s)
 		}
 	}
 	c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
 }
 
-func (c *coordinator) overQuota(tenant int) bool {
-	quota := c.facts.opt(of("Tenants", tenant, "QuotaPerS"), 0) / 10_000
+// beyond takes one of the tenant's share, a bucket filled at this co-ordinator's part of its rate, and tells
+// whether none was left.
+func (c *coordinator) beyond(tenant int) bool {
+	quota := c.facts.opt(of("Tenants", tenant, "QuotaPerS"), 0) / c.facts.num("Balancers") / 10_000
 	if tenant >= len(c.tenants) || quota == 0 {
 		return false
 	}
-	return c.tenants[tenant].rate(c.now, rateSpan, youngSpan)*c.facts.num("Balancers") > overShare*quota
+	b := &c.tenants[tenant]
+	b.left = min(b.left+quota*float64(c.now-b.at), 1+quota*shareSpan)
+	b.at = c.now
+	if b.left < 1 {
+		return true
+	}
+	b.left--
+	return false
 }
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -132,12 +132,12 @@
 	}
 }
 
-// search takes "ID type grace shards [weights]".
+// search takes "ID type grace shards [weights [again]]".
 func (s *stage) search(id uint64, w []string) {
-	w = append(w, "")
+	w = append(w, "", "")
 	s.finals[id] = 1
 	s.turn(func() {
-		s.c.Search(id, int(s.num(w[0])), 0, "-", s.num(w[1])*10, id, strings.Count(w[2], ",")+1, false)
+		s.c.Search(id, int(s.num(w[0])), 0, "-", s.num(w[1])*10, id, strings.Count(w[2], ",")+1, w[4] == "again")
 		s.parts(id, id*100, w[2], w[3])
 	})
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,6 +14,7 @@
 	parts          []*part
 	in, need, most float64 // weight in, weight for a whole answer, weight that can still come
 	copies         int
+	beyond         bool // more than its tenant's share
 }
 
 // part is one part of a search's present step.
@@ -40,6 +41,12 @@
 	maybe   bool // it may have run
 }
 
+// bucket is what a tenant has left of its share.
+type bucket struct {
+	left float64
+	at   int64
+}
+
 // call is what one turn sent to one replica together.
 type call struct{ parts, out int }
 
