Heavy searches: silence counts searches, and a search long in most parts is not copied

Also guards against a slowdown of all that the mean has not yet followed; harm: with most of a search's holders slow at once no copies go out.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	priorParts = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
 	quietRatio = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
 	quietLeast = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
-	quietTries = 2      // parts unanswered meanwhile: one may simply be long
+	quietTries = 2      // searches with parts unanswered meanwhile: one search may simply be heavy
 	strikeOut  = 3      // errors or refusals in a row that make a suspect: single ones come on good days
 	trialFirst = 10_000 // first wait before a suspect gets a trial part: a second is a short outage
 	trialMost  = 40_000 // longest such wait: a healed replica is back in use within seconds
@@ -104,7 +104,6 @@
 	c.facts.num("Specifics.Reach")
 	for q := range int(c.facts.num("Classes.count")) {
 		c.facts.num(of("Classes", q, "Aim"))
-		c.facts.num(of("Classes", q, "Deadline"))
 	}
 	c.tenants = make([]bucket, int(c.facts.opt("Tenants.count", 0)))
 	if c.facts["Discovery"] == "subscribe" {
@@ -152,10 +151,7 @@
 	c.fresh = nil
 	if how == "Error" {
 		// Guards against a list service that fails: asked again with growing waits, within the rule's time.
-		wait := c.askWait
-		if within := c.facts.span("Safety.AskWithin"); within > 0 {
-			wait = min(wait, within/2)
-		}
+		wait := min(c.askWait, int64(c.facts.opt("Safety.AskWithin", askMost)*5)) // half of it
 		c.askWait = min(2*c.askWait, askMost)
 		c.after(wait+c.chance.Int63n(wait/4+1), c.out.Watch)
 		return
@@ -271,15 +267,13 @@
 // open lets a search leave the queue: the needed parts and the extras that the backlog grants.
 func (c *coordinator) open(s *search) {
 	s.left = c.now
-	order := slices.Clone(s.parts)
-	c.chance.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	ease := map[*part]float64{} // those that can go now come first, then the heavier
-	for _, p := range order {
-		if ease[p] = p.weight; c.pick(p, false) != nil {
+	order, ease := slices.Clone(s.parts), map[*part]float64{}
+	for _, p := range order { // those that can go now come first, then the heavier, ties by chance
+		if ease[p] = p.weight + 1e-9*c.chance.Float64(); c.pick(p, false) != nil {
 			ease[p]++
 		}
 	}
-	slices.SortStableFunc(order, func(p, q *part) int { return cmp.Compare(ease[q], ease[p]) })
+	slices.SortFunc(order, func(p, q *part) int { return cmp.Compare(ease[q], ease[p]) })
 	have, n := 0.0, 0
 	for n < len(order) && have < s.need-1e-4 {
 		have += order[n].weight
@@ -521,7 +515,7 @@
 	if r.quiet == 0 {
 		r.quietSince = c.now
 	}
-	r.quiet++
+	r.miss(p.s)
 	p.tries, r.tries = append(p.tries, t), append(r.tries, t)
 	patience := p.s.due - c.now + answerPad
 	if c.facts.yes("Permissions.SecondCopies") {
@@ -544,25 +538,32 @@
 		return
 	}
 	r := c.pick(p, true)
-	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !c.lacking(p.s) || !c.suspect(t.r) &&
-		(len(c.queue) > 0 || float64(p.s.copies) >= math.Ceil(copyParts*float64(len(p.s.parts)))) {
+	lacking, heavy := c.short(p.s)
+	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !lacking ||
+		!c.suspect(t.r) && (len(c.queue) > 0 || heavy) {
 		c.after(copyAgain, func() { c.overdue(t) })
 		return
 	}
 	c.send(p, r)
 }
 
-// lacking tells whether the parts in and those out but not overdue fall short of a whole answer.
-func (c *coordinator) lacking(s *search) bool {
-	have := s.in
+// short tells whether the parts in and those out on time fall short of a whole answer, and whether so many
+// are long out, or were copied, that it is the search that is heavy and not a replica that is slow.
+func (c *coordinator) short(s *search) (lacking, heavy bool) {
+	have, long, sent := s.in, 0.0, 0.0
 	for _, p := range s.parts {
-		if !p.in && slices.ContainsFunc(p.tries, func(t *try) bool {
-			return t.out && c.now-t.sent < c.overdueAfter() && !c.suspect(t.r)
-		}) {
+		onTime := func(t *try) bool { return t.out && c.now-t.sent < c.overdueAfter() && !c.suspect(t.r) }
+		switch {
+		case len(p.tries) == 0:
+			continue
+		case !p.in && slices.ContainsFunc(p.tries, onTime):
 			have += p.weight
+		case !p.in && c.now-p.tries[0].sent >= c.overdueAfter() && !c.suspect(p.tries[0].r):
+			long++
 		}
+		sent++
 	}
-	return have < s.need-1e-4
+	return have < s.need-1e-4, max(long, float64(s.copies+1)) > math.Ceil(copyParts*sent)
 }
 
 func (c *coordinator) Outcome(part uint64, leg int, ending string, wait int64, over bool,
@@ -598,7 +599,10 @@
 			r.since, r.credit, r.creditAt = c.now, 0, c.now // it was gone and is back before the list says so
 		}
 		t.maybe, r.strikes, r.down, r.trialGap = true, 0, false, 0
-		r.quiet, r.quietSince = len(r.tries), c.now
+		r.quiet, r.quietSince = 0, c.now
+		for _, o := range r.tries {
+			r.miss(o.p.s)
+		}
 		r.pace.add(c.now, paceSpan, pace)
 		c.pace.add(c.now, fleetSpan, pace)
 		c.follow()
@@ -664,8 +668,8 @@
 	}
 	if age := float64(c.now - t.sent); age > c.common() {
 		t.r.pace.add(c.now, paceSpan, math.Log(age))
-	} else {
-		t.r.quiet = max(0, t.r.quiet-1) // called off before its time: no sign of silence
+	} else if t.r.quiet > 0 && t.r.quietOf == t.p.s {
+		t.r.quiet, t.r.quietOf = t.r.quiet-1, nil // called off before its time: no sign of silence
 	}
 	c.release(t)
 	c.out.Cancel(t.p.id, t.leg)
--- a/logic/state.go
+++ b/logic/state.go
@@ -62,7 +62,8 @@
 	tries      []*try
 	pace       sum // logarithms of answer times
 	quietSince int64
-	quiet      int
+	quiet      int // searches unanswered since quietSince
+	quietOf    *search
 	strikes    int
 	down       bool
 	trialAt    int64
@@ -72,6 +73,13 @@
 	creditAt   int64
 }
 
+// miss counts a search that waits for this replica.
+func (r *replica) miss(s *search) {
+	if r.quiet == 0 || r.quietOf != s {
+		r.quiet, r.quietOf = r.quiet+1, s
+	}
+}
+
 // sum is a decaying count and a decaying total, brought up to date when read.
 type sum struct {
 	n, total  float64
