Scenarios that fail when their guard is broken; the rest after a refusal taken out

Each guard was broken once; where no scenario failed, one was added or sharpened. A replica that is back before the list says so is cold also where its start is unknown.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,6 @@
 	strikeOut  = 3      // errors or refusals in a row that make a suspect: single ones come on good days
 	trialFirst = 10_000 // first wait before a suspect gets a trial part: a second is a short outage
 	trialMost  = 40_000 // longest such wait: a healed replica is back in use within seconds
-	fullPause  = 1_500  // rest after a refused part: about the time of one part
 
 	copyRatio  = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
 	aloneRatio = 2     // times that age: a part's time-out where no copy may run beside it
@@ -377,8 +376,6 @@
 			if c.now >= r.trialAt && !other && c.effect(p.s) == "retryable" {
 				load = -1
 			}
-		} else if c.now < r.pauseTo {
-			load += 1e5
 		}
 		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r && !t.settled }) {
 			continue
@@ -435,20 +432,22 @@
 	return r.quiet >= quietTries && float64(c.now-r.quietSince) > max(quietLeast, quietRatio*c.common())
 }
 
+func (c *coordinator) warm(r *replica) bool {
+	return r.since == 0 || c.now >= r.since+c.facts.span("Safety.Cold")
+}
+
 // coldRoom guards against pushing over a replica that has just started: it gets that share of what own
 // parts the busiest warm replica answers which it can surely do by now. Also guards against own bursts
 // after a fail-over.
 func (c *coordinator) coldRoom(r *replica) bool {
-	cold := c.facts.span("Safety.Cold")
-	warm := func(r *replica) bool { return r.since == 0 || c.now >= r.since+cold }
-	if warm(r) {
+	if c.warm(r) {
 		return true
 	}
 	from := c.facts.opt("Safety.ColdFrom", 0)
-	can := from + (1-from)*float64(max(0, c.now-r.since))/float64(cold)
+	can := from + (1-from)*float64(max(0, c.now-r.since))/float64(c.facts.span("Safety.Cold"))
 	rate, multiple := 0.0, c.facts.opt("Safety.FallMultiple", 1)
 	for _, o := range c.list {
-		if o.open && warm(o) {
+		if o.open && c.warm(o) {
 			rate = max(rate, o.pace.rate(c.now, paceSpan, youngSpan))
 		}
 	}
@@ -478,10 +477,6 @@
 }
 
 func (c *coordinator) mayRepeat(p *part) bool {
-	if !c.facts.yes("Permissions.SecondCopies") &&
-		slices.ContainsFunc(p.tries, func(t *try) bool { return !t.settled }) {
-		return false
-	}
 	effect := c.effect(p.s)
 	for _, t := range p.tries {
 		if !t.maybe && t.settled || effect == "retryable" {
@@ -595,7 +590,7 @@
 	pace := math.Log(float64(max(1, wait)))
 	switch ending {
 	case "Ok":
-		if r.down && r.since+c.facts.span("Safety.Cold") < c.now {
+		if r.down && c.warm(r) {
 			r.since, r.credit, r.creditAt = c.now, 0, c.now // it was gone and is back before the list says so
 		}
 		t.maybe, r.strikes, r.down, r.trialGap = true, 0, false, 0
@@ -626,7 +621,6 @@
 		r.strikes++
 	case "QueueFull":
 		r.strikes++
-		r.pauseTo = c.now + fullPause
 	case "ConnectError":
 		r.down = true
 	case "ResetByPeer":
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -37,6 +37,8 @@
 	facts   map[string]string
 	replies map[string][]string
 	legs    map[uint64]int
+	out     map[uint64]int
+	ended   map[[2]uint64]bool
 	owner   map[uint64]uint64 // part to search
 	finals  map[uint64]int    // final answers still owed
 	next    uint64
@@ -46,6 +48,7 @@
 func (s *stage) act(format string, v ...any) { s.acts = append(s.acts, fmt.Sprintf(format, v...)) }
 func (s *stage) plan(wait int64, do func())  { s.later = append(s.later, due{s.now + wait, do}) }
 func (s *stage) Cancel(part uint64, leg int) {
+	require.Equal(s.t, "true", s.facts["Permissions.Cancelling"])
 	s.act("cancel %d.%d", part, leg)
 	s.end(part, leg, "Canceled", 10)
 }
@@ -77,6 +80,9 @@
 	require.Positive(s.t, s.finals[s.owner[part]], "part %d sent after the final answer", part)
 	leg := s.legs[part]
 	s.legs[part]++
+	s.out[part]++
+	require.LessOrEqual(s.t, s.legs[part], int(s.num(s.facts["Permissions.MaxAttempts"])))
+	require.True(s.t, s.out[part] == 1 || s.facts["Permissions.SecondCopies"] == "true", "second copy of %d", part)
 	if r := s.replies[replica]; r != nil {
 		s.end(part, leg, r[0], s.num(r[1])*10)
 	} else {
@@ -86,7 +92,16 @@
 
 func (s *stage) end(part uint64, leg int, ending string, wait int64) {
 	sent := s.now
-	s.plan(wait, func() { s.c.Outcome(part, leg, ending, s.now-sent, false, nil) })
+	if s.ended[[2]uint64{part, uint64(leg)}] {
+		return
+	}
+	s.plan(wait, func() {
+		if key := [2]uint64{part, uint64(leg)}; !s.ended[key] {
+			s.ended[key] = true
+			s.out[part]--
+			s.c.Outcome(part, leg, ending, s.now-sent, false, nil)
+		}
+	})
 }
 
 func (s *stage) num(text string) int64 {
@@ -204,6 +219,7 @@
 
 func play(t *testing.T, text string) []string {
 	s := &stage{t: t, facts: map[string]string{}, replies: map[string][]string{}, legs: map[uint64]int{},
+		out: map[uint64]int{}, ended: map[[2]uint64]bool{},
 		now: 10, owner: map[uint64]uint64{}, finals: map[uint64]int{}, steps: map[uint64]string{}}
 	s.c = New(s)
 	s.line(append([]string{"facts"}, strings.Fields(usualFacts)...))
--- a/logic/state.go
+++ b/logic/state.go
@@ -68,7 +68,6 @@
 	down       bool
 	trialAt    int64
 	trialGap   int64
-	pauseTo    int64
 	credit     float64
 	creditAt   int64
 }
