--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,6 @@
 	oneReplica = 2    // times a replica's part of the slots that it may hold itself: ordinary unevenness
 	leastShare = 0.25 // smallest slot cap, of the start: one part a replica keeps every replica measured
 
-	slowFrom   = 2.2    // answer time over the fleet's that makes a replica's parts count more: beyond chance
 	priorParts = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
 	quietRatio = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
 	quietLeast = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
@@ -368,7 +367,7 @@
 		if !r.open || !c.holds(r, p.shard) || !c.room(r) || !c.coldRoom(r) {
 			continue
 		}
-		load := c.load(r)
+		load := float64(r.calls)
 		if c.suspect(r) {
 			// Guards against replicas that take parts and answer none, or refuse: used only where nothing else
 			// holds the shard, but for a trial part now and then, so that suspicion heals.
@@ -403,16 +402,6 @@
 	return float64(len(r.tries)) < max(1, oneReplica*slotsPerReplica*share)
 }
 
-// load is the count of own calls out. On a replica far slower than the fleet each counts as many times as
-// it is slower: counts alone would go on filling it as fast as the others drain.
-func (c *coordinator) load(r *replica) float64 {
-	n := float64(r.calls)
-	if slow := c.slowness(r); slow > slowFrom {
-		return (n+1)*slow - 1
-	}
-	return n
-}
-
 // slowness is a replica's answer time over the fleet's, parts that are still out counted by their age.
 func (c *coordinator) slowness(r *replica) float64 {
 	n, total := r.pace.read(c.now, paceSpan)
