Time of big batches bounded; a killed instance's earlier actions are dropped

Numbers read from settings are kept, the common answer time is kept for a moment, and a shard that no replica may take stays so for the turn. An instance killed and started in one batch no longer sends what the old one asked for before.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -29,7 +29,6 @@
 	sets      map[int][]entry
 	instances map[int]*instance
 	touched   []*instance
-	reply     []byte
 }
 
 // instance is one co-ordinator's module and the way its actions go out.
@@ -38,7 +37,9 @@
 	l    *link
 	c    logic.Coordinator
 	turn bool
-	dead bool
+	dead bool // its module failed
+	gone bool // killed or started anew: nothing it asked for in this batch goes out
+	acts []byte
 }
 
 type fault struct{ text string }
@@ -65,14 +66,15 @@
 		f := l.split(text, "clock", 2)
 		l.now, l.batch = f.time(0), f.text(1)
 		f.whole(1)
-		l.reply = l.reply[:0]
 		l.events()
 		for _, i := range l.touched {
 			i.guard(i.c.EndOfBatch)
-			i.turn = false
+			if !i.gone {
+				l.out.Write(i.acts)
+			}
+			i.acts, i.turn = i.acts[:0], false
 		}
 		l.touched = l.touched[:0]
-		l.out.Write(l.reply)
 		fmt.Fprintf(l.out, "finished %s\n", l.batch)
 		if err := l.out.Flush(); err != nil {
 			return fmt.Errorf("batch %s: %w", l.batch, err)
@@ -197,7 +199,7 @@
 			f := l.split(text, name, 1)
 			no := int(f.whole(0))
 			if i := l.instances[no]; i != nil {
-				i.dead = true
+				i.gone = true
 			}
 			delete(l.instances, no)
 		default:
@@ -236,7 +238,7 @@
 		settings[name] = value
 	}
 	if old := l.instances[no]; old != nil {
-		old.dead = true
+		old.gone = true
 	}
 	i := &instance{no: no, l: l}
 	i.c = logic.New(i)
@@ -309,7 +311,7 @@
 
 // guard keeps a failure of one instance's module from the others: it is reported as that instance's.
 func (i *instance) guard(step func()) {
-	if i.dead {
+	if i.dead || i.gone {
 		return
 	}
 	defer func() {
@@ -325,11 +327,11 @@
 }
 
 func (i *instance) act(name string, values ...any) {
-	i.l.reply = fmt.Appendf(i.l.reply, "%s %d", name, i.no)
+	i.acts = fmt.Appendf(i.acts, "%s %d", name, i.no)
 	for _, v := range values {
-		i.l.reply = fmt.Appendf(i.l.reply, " %v", v)
+		i.acts = fmt.Appendf(i.acts, " %v", v)
 	}
-	i.l.reply = append(i.l.reply, '\n')
+	i.acts = append(i.acts, '\n')
 }
 
 func ms(t int64) string { return strconv.FormatFloat(float64(t)/10, 'f', 1, 64) }
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -59,6 +59,17 @@
 	require.NotContains(t, out, "settle_query")
 }
 
+// What an instance asked for before a kill and a new start in the same batch is not sent for the new one.
+func TestRestartInOneBatch(t *testing.T) {
+	out := serve(t, batch(1, append(begin(1), inbound(1, 10)...)...)+batch(2, append(append([]string{
+		"returned 1 11 0 10.0.0.1:7003 Failed 1 0 -", "returned 1 12 0 10.0.0.2:7003 Ok 1 1 -", "withdrawn 1 10",
+		"kill 1"}, begin(1)...), inbound(1, 20)...)...))
+	require.Contains(t, out, "route 1 21")
+	second := out[strings.Index(out, "finished 1"):]
+	require.NotContains(t, second, " 11 ")
+	require.NotContains(t, second, " 12 ")
+}
+
 func TestMalformedInput(t *testing.T) {
 	for text, says := range map[string]string{
 		"clock 1.0\n":                                              "batch -, line 1",
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,12 +69,17 @@
 	held    map[uint64]*search // by id
 	numbers map[uint64]*search
 	queue   []*search
+	full    map[int]bool // shards that no replica may take in this turn
 	waiting []*part
 	next    map[uint64]pending // what each sub-request's outcome is handed to, by part and leg
 	wakes   map[uint64]func()
 	label   uint64
 	backlog float64
-	pace    sum // logarithms of answer times
+	behind  float64 // parts waiting at the end of the last turn
+	pace    sum     // logarithms of answer times
+	usual   float64 // common(), kept while neither the time nor the count usualN moves
+	usualN  float64
+	usualAt int64
 	best    float64
 	limit   float64
 	bestAt  int64
@@ -90,21 +95,21 @@
 // New makes the module of one co-ordinator.
 func New(out Out) Coordinator {
 	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
-		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){},
+		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){}, full: map[int]bool{},
 		askWait: askFirst, limit: math.Inf(1)}
 }
 
 func (c *coordinator) Clock(now int64) { c.now = now }
 
 func (c *coordinator) Start(seed int64, settings map[string]string) {
-	c.facts, c.chance = settings, rand.New(rand.NewSource(seed))
+	c.facts, c.chance = siteFacts{settings, map[string]float64{}}, rand.New(rand.NewSource(seed))
 	c.facts.num("Specifics.Sets")
 	c.facts.num("Specifics.Reach")
 	for q := range int(c.facts.num("Classes.count")) {
 		c.facts.num(of("Classes", q, "Aim"))
 	}
 	c.tenants = make([]bucket, int(c.facts.opt("Tenants.count", 0)))
-	if c.facts["Discovery"] == "subscribe" {
+	if c.facts.text["Discovery"] == "subscribe" {
 		c.out.Watch()
 	}
 }
@@ -122,7 +127,7 @@
 	}
 }
 
-func (c *coordinator) effect(s *search) string { return c.facts[of("Classes", s.qtype, "Effect")] }
+func (c *coordinator) effect(s *search) string { return c.facts.text[of("Classes", s.qtype, "Effect")] }
 
 func (c *coordinator) maxTries() int { return int(c.facts.opt("Permissions.MaxAttempts", 1)) }
 
@@ -217,6 +222,7 @@
 // Leaving the queue.
 
 func (c *coordinator) EndOfBatch() {
+	clear(c.full)
 	for i := 0; c.sendWaiting() && i < len(c.queue) && c.inFlight() < c.slots(); {
 		s := c.queue[i]
 		switch {
@@ -244,7 +250,7 @@
 func (c *coordinator) blocked(s *search) bool {
 	can := 0.0
 	for _, p := range s.parts {
-		if c.pick(p, false) != nil {
+		if c.choose(p) != nil {
 			can += p.weight
 		}
 	}
@@ -267,7 +273,7 @@
 	s.left = c.now
 	order, ease := slices.Clone(s.parts), map[*part]float64{}
 	for _, p := range order { // those that can go now come first, then the heavier, ties by chance
-		if ease[p] = p.weight + 1e-9*c.chance.Float64(); c.pick(p, false) != nil {
+		if ease[p] = p.weight + 1e-9*c.chance.Float64(); c.choose(p) != nil {
 			ease[p]++
 		}
 	}
@@ -306,7 +312,7 @@
 			rest, free = append(rest, c.waiting[i:]...), false
 			break
 		}
-		if r := c.pick(p, len(p.tries) > 0); r != nil && c.mayTry(p) {
+		if r := c.choose(p); r != nil && c.mayTry(p) {
 			p.queued = false
 			c.send(p, r)
 			continue
@@ -338,9 +344,12 @@
 	c.slots()
 }
 
+// common is the fleet's answer time now, by the mean of logarithms: single long answers weigh little.
 func (c *coordinator) common() float64 {
-	n, total := c.pace.read(c.now, fleetSpan)
-	return math.Exp((total + math.Log(firstPace)) / (n + 1))
+	if n, total := c.pace.read(c.now, fleetSpan); c.usualAt != c.now || c.usualN != n {
+		c.usual, c.usualAt, c.usualN = math.Exp((total+math.Log(firstPace))/(n+1)), c.now, n
+	}
+	return c.usual
 }
 
 func (c *coordinator) shortest() float64 {
@@ -394,6 +403,18 @@
 	return best
 }
 
+// choose is pick at the end of a turn, when a shard that no replica may take stays so.
+func (c *coordinator) choose(p *part) *replica {
+	if c.full[p.shard] {
+		return nil
+	}
+	r := c.pick(p, len(p.tries) > 0)
+	if r == nil && len(p.tries) == 0 {
+		c.full[p.shard] = true
+	}
+	return r
+}
+
 // room guards against piling up on the one sound holder of a shard: a replica's own part of the slots
 // shrinks with its answers as the cap does with all answers. Parts beyond it stand aside, as do searches
 // that need them.
@@ -434,14 +455,16 @@
 	}
 	from := c.facts.opt("Safety.ColdFrom", 0)
 	can := from + (1-from)*float64(max(0, c.now-r.since))/float64(c.facts.span("Safety.Cold"))
-	rate, multiple := 0.0, c.facts.opt("Safety.FallMultiple", 1)
-	for _, o := range c.list {
-		if o.open && c.warm(o) {
-			rate = max(rate, o.pace.rate(c.now, paceSpan, youngSpan))
+	if r.creditAt < c.now {
+		rate, multiple := 0.0, c.facts.opt("Safety.FallMultiple", 1)
+		for _, o := range c.list {
+			if o.open && c.warm(o) {
+				rate = max(rate, o.pace.rate(c.now, paceSpan, youngSpan))
+			}
 		}
+		r.credit = min(coldBurst, r.credit+coldPart*multiple*can*rate*float64(c.now-r.creditAt))
+		r.creditAt = c.now
 	}
-	r.credit = min(coldBurst, r.credit+coldPart*multiple*can*rate*float64(c.now-r.creditAt))
-	r.creditAt = c.now
 	return r.credit >= 1
 }
 
@@ -738,7 +761,7 @@
 func (c *coordinator) shed(s *search) {
 	advice := int64(0)
 	if c.facts.yes("Permissions.RetryAfter") {
-		advice = min(int64(c.wait(c.ahead(nil))), c.facts.span("Permissions.MaxRetryAfter"))
+		advice = min(int64(c.wait(c.behind)), c.facts.span("Permissions.MaxRetryAfter"))
 	}
 	c.out.Shed(s.id, advice)
 	c.end(s)
@@ -758,19 +781,6 @@
 
 // Shedding. All of it acts only while searches wait for a slot.
 
-func (c *coordinator) ahead(s *search) float64 {
-	n := len(c.waiting)
-	for _, q := range c.queue {
-		if q == s {
-			break
-		}
-		if !q.over {
-			n += len(q.parts)
-		}
-	}
-	return float64(n)
-}
-
 // wait is the time that so many parts take to be answered; while rates are young, by Little's law.
 func (c *coordinator) wait(ahead float64) float64 {
 	rate := max(c.done.rate(c.now, rateSpan, youngSpan), float64(c.inFlight())/c.common())
@@ -787,11 +797,17 @@
 // still ask again, and what a tenant sends beyond its share goes first. Harm: a wait judged too long sheds
 // needlessly.
 func (c *coordinator) trim() {
+	ahead := len(c.waiting)
 	for _, s := range c.queue {
-		if !s.over && (c.late(s, c.ahead(s)) || s.beyond) {
+		switch {
+		case s.over:
+		case s.beyond, c.late(s, float64(ahead)):
 			c.shed(s)
+		default:
+			ahead += len(s.parts)
 		}
 	}
+	c.behind = float64(ahead)
 	c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
 }
 
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -82,7 +82,7 @@
 	s.legs[part]++
 	s.out[part]++
 	require.LessOrEqual(s.t, s.legs[part], int(s.num(s.facts["Permissions.MaxAttempts"])))
-	require.True(s.t, s.out[part] == 1 || s.facts["Permissions.SecondCopies"] == "true", "second copy of %d", part)
+	require.True(s.t, s.out[part] == 1 || s.facts["Permissions.SecondCopies"] == "true", "copy of %d", part)
 	if r := s.replies[replica]; r != nil {
 		s.end(part, leg, r[0], s.num(r[1])*10)
 	} else {
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -8,19 +8,26 @@
 
 // siteFacts holds what the site told at start, by name. A fact that is needed and missing, or any fact that
 // cannot be read, panics with its name; the protocol reports that and drops the instance.
-type siteFacts map[string]string
+type siteFacts struct {
+	text map[string]string
+	read map[string]float64 // numbers read before
+}
 
 func (f siteFacts) parse(name, text string) float64 {
+	if v, ok := f.read[name]; ok {
+		return v
+	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || v != v {
 		panic(fmt.Sprintf("setting %s: %q is no number", name, text))
 	}
+	f.read[name] = v
 	return v
 }
 
 // num reads a number that is needed.
 func (f siteFacts) num(name string) float64 {
-	text, ok := f[name]
+	text, ok := f.text[name]
 	if !ok {
 		panic("setting " + name + " is missing")
 	}
@@ -29,7 +36,7 @@
 
 // opt reads a number that may be missing.
 func (f siteFacts) opt(name string, missing float64) float64 {
-	if text, ok := f[name]; ok {
+	if text, ok := f.text[name]; ok {
 		return f.parse(name, text)
 	}
 	return missing
@@ -40,7 +47,7 @@
 
 // yes reads a switch that may be missing: off then.
 func (f siteFacts) yes(name string) bool {
-	switch text := f[name]; text {
+	switch text := f.text[name]; text {
 	case "true", "1":
 		return true
 	case "false", "0", "":
@@ -52,7 +59,11 @@
 
 // nth reads a place in a list of numbers; the list may be missing.
 func (f siteFacts) nth(name string, i int, missing float64) float64 {
-	text, ok := f[name]
+	key := name + "," + strconv.Itoa(i)
+	if v, ok := f.read[key]; ok {
+		return v
+	}
+	text, ok := f.text[name]
 	if !ok {
 		return missing
 	}
@@ -60,8 +71,8 @@
 	if i >= len(items) {
 		panic(fmt.Sprintf("setting %s has no place %d", name, i))
 	}
-	return f.parse(name, items[i])
+	return f.parse(key, items[i])
 }
 
 // of names a fact of a query type or tenant.
-func of(list string, i int, field string) string { return fmt.Sprintf("%s.%d.%s", list, i, field) }
+func of(list string, i int, field string) string { return list + "." + strconv.Itoa(i) + "." + field }
