Suspects are used only where no sound replica holds the shard, full or not

Guards against every replica that fails fast; harm: with one sound holder left, parts wait for it that a wrongly suspected one could do.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,7 +99,7 @@
 		askWait: askFirst, limit: math.Inf(1)}
 }
 
-func (c *coordinator) Clock(now int64) { c.now = now }
+func (c *coordinator) Clock(now int64) { c.now = now; clear(c.full) }
 
 func (c *coordinator) Start(seed int64, settings map[string]string) {
 	c.facts, c.chance = siteFacts{settings, map[string]float64{}}, rand.New(rand.NewSource(seed))
@@ -222,7 +222,6 @@
 // Leaving the queue.
 
 func (c *coordinator) EndOfBatch() {
-	clear(c.full)
 	for i := 0; c.sendWaiting() && i < len(c.queue) && c.inFlight() < c.slots(); {
 		s := c.queue[i]
 		switch {
@@ -250,7 +249,7 @@
 func (c *coordinator) blocked(s *search) bool {
 	can := 0.0
 	for _, p := range s.parts {
-		if c.choose(p) != nil {
+		if c.pick(p) != nil {
 			can += p.weight
 		}
 	}
@@ -273,7 +272,7 @@
 	s.left = c.now
 	order, ease := slices.Clone(s.parts), map[*part]float64{}
 	for _, p := range order { // those that can go now come first, then the heavier, ties by chance
-		if ease[p] = p.weight + 1e-9*c.chance.Float64(); c.choose(p) != nil {
+		if ease[p] = p.weight + 1e-9*c.chance.Float64(); c.pick(p) != nil {
 			ease[p]++
 		}
 	}
@@ -312,7 +311,7 @@
 			rest, free = append(rest, c.waiting[i:]...), false
 			break
 		}
-		if r := c.choose(p); r != nil && c.mayTry(p) {
+		if r := c.pick(p); r != nil && c.mayTry(p) {
 			p.queued = false
 			c.send(p, r)
 			continue
@@ -367,21 +366,28 @@
 
 // Replicas.
 
-// pick chooses the replica for a part: fewest own calls out, ties by chance. other asks for one not tried
-// yet.
-func (c *coordinator) pick(p *part, other bool) *replica {
+// pick chooses the replica for a part: fewest own calls out, ties by chance; one not tried yet where there is.
+func (c *coordinator) pick(p *part) *replica {
+	if c.full[p.shard] {
+		return nil
+	}
 	var best *replica
-	least, ties := math.Inf(1), 0
+	least, ties, sound := math.Inf(1), 0, false
 	for _, r := range c.list {
-		if !r.open || !c.holds(r, p.shard) || !c.room(r) || !c.coldRoom(r) {
+		if !r.open || !c.holds(r, p.shard) {
+			continue
+		}
+		bad := c.suspect(r)
+		sound = sound || !bad
+		if !c.room(r) || !c.coldRoom(r) {
 			continue
 		}
 		load := float64(r.calls)
-		if c.suspect(r) {
-			// Guards against replicas that take parts and answer none, or refuse: used only where nothing else
-			// holds the shard, but for a trial part now and then, so that suspicion heals.
+		if bad {
+			// Guards against replicas that take parts and answer none, or refuse: used only where no sound one
+			// holds the shard, full or not, but for a trial part now and then, so that suspicion heals.
 			load += 1e6
-			if c.now >= r.trialAt && !other && c.effect(p.s) == "retryable" {
+			if c.now >= r.trialAt && len(p.tries) == 0 && c.effect(p.s) == "retryable" {
 				load = -1
 			}
 		}
@@ -400,19 +406,13 @@
 			}
 		}
 	}
-	return best
-}
-
-// choose is pick at the end of a turn, when a shard that no replica may take stays so.
-func (c *coordinator) choose(p *part) *replica {
-	if c.full[p.shard] {
-		return nil
+	if sound && least >= 1e6 {
+		best = nil
 	}
-	r := c.pick(p, len(p.tries) > 0)
-	if r == nil && len(p.tries) == 0 {
-		c.full[p.shard] = true
+	if best == nil && len(p.tries) == 0 {
+		c.full[p.shard] = true // and stays so for this turn
 	}
-	return r
+	return best
 }
 
 // room guards against piling up on the one sound holder of a shard: a replica's own part of the slots
@@ -544,7 +544,7 @@
 	if t.settled || p.s.over || p.in || p.dead {
 		return
 	}
-	r := c.pick(p, true)
+	r := c.pick(p)
 	lacking, heavy := c.short(p.s)
 	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !lacking ||
 		!c.suspect(t.r) && (len(c.queue) > 0 || heavy) {
