--- a/logic/logic.go
+++ b/logic/logic.go
@@ -282,12 +282,11 @@
 		have += order[n].weight
 		n++
 	}
-	extras := len(order) - n
-	if c.backlog >= 1 {
-		extras = max(0, extras-int(c.backlog))
-	}
-	for _, p := range order[:n+extras] {
-		c.ask(p)
+	extras := max(0, len(order)-n-int(c.backlog)) // all that remain while the backlog is under 1
+	for i, p := range order[:n+extras] {
+		if i < n || ease[p] > 1 { // an extra that would have to wait takes room from parts that are needed
+			c.ask(p)
+		}
 	}
 }
 
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -180,7 +180,9 @@
 	case "list":
 		s.turn(func() { s.list(w[1], w[2:]) })
 	case "when":
-		s.replies[w[1]] = w[2:]
+		for _, id := range strings.Split(w[1], ",") {
+			s.replies[id] = w[2:]
+		}
 	case "silent":
 		delete(s.replies, w[1])
 	case "at":
