--- a/logic/logic.go
+++ b/logic/logic.go
@@ -367,7 +367,7 @@
 
 // pick chooses the replica for a part: fewest own calls out, ties by chance; one not tried yet where there is.
 func (c *coordinator) pick(p *part) *replica {
-	if c.full[p.shard] {
+// pick chooses the replica for a part: fewest own calls out, ties by chance; one not tried yet if there is.
 		return nil
 	}
 	var best *replica
