--- a/logic/logic.go
+++ b/logic/logic.go
@@ -365,9 +365,9 @@
 
 // Replicas.
 
-// pick chooses the replica for a part: fewest own calls out, ties by chance; one not tried yet where there is.
-func (c *coordinator) pick(p *part) *replica {
 // pick chooses the replica for a part: fewest own calls out, ties by chance; one not tried yet if there is.
+func (c *coordinator) pick(p *part) *replica {
+	if c.full[p.shard] {
 		return nil
 	}
 	var best *replica
