Read through: twin checks folded, budget counts only where a budget stands

The times of searches and parts taken were noted on every site and taken away only under a stated budget, so elsewhere they grew without end; now they are noted only where it stands. The limit on tries stood in two places and is one check; a called-off sub-request is measured where it is called off, and the branch for it at its outcome was never reached; endings that do the same share a case; a tenant kept with each search was not read.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -179,7 +179,7 @@
 func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
 	retry bool) {
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
-	s := &search{id: id, number: number, qtype: qtype, tenant: tenant, came: c.now, step: 1}
+	s := &search{id: id, number: number, qtype: qtype, came: c.now, step: 1}
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
 	useful := c.facts.span(of("Classes", qtype, "Aim"))
 	if retry {
@@ -188,7 +188,7 @@
 	s.useful = c.now + min(useful, grace) - c.facts.span("Tick")
 	s.need = c.facts.nth("Specifics.NeedByClass", qtype, 1)
 	c.held[id], c.numbers[number] = s, s
-	c.taken = append(c.taken, c.now)
+	c.count(&c.taken)
 	s.beyond = !retry && c.beyond(tenant)
 	c.queue = append(c.queue, s)
 	c.after(s.due-c.now, func() { c.giveUp(s) })
@@ -198,7 +198,7 @@
 }
 
 func (c *coordinator) Part(id, number uint64, shard int, weight float64) {
-	c.taken = append(c.taken, c.now)
+	c.count(&c.taken)
 	s := c.numbers[number]
 	if s == nil || s.over {
 		return
@@ -244,8 +244,7 @@
 	}
 }
 
-// blocked tells whether parts that a whole answer needs have no replica to go to: the search stands aside
-// then.
+// blocked tells whether parts that a whole answer needs have no replica to go to: such a search stands aside.
 func (c *coordinator) blocked(s *search) bool {
 	can := 0.0
 	for _, p := range s.parts {
@@ -469,12 +468,19 @@
 
 // Sub-requests.
 
+// count notes one now for the budget, where one is stated: elsewhere nothing would ever take it away.
+func (c *coordinator) count(at *[]int64) {
+	if c.facts.span("Safety.LookBack") > 0 {
+		*at = append(*at, c.now)
+	}
+}
+
 // mayTry holds the rules on sending a part: how often, when a repeat is harmless, and the stated budget.
 func (c *coordinator) mayTry(p *part) bool {
 	if len(p.tries) == 0 {
 		return true
 	}
-	if len(p.tries) >= c.maxTries() || !c.mayRepeat(p) {
+	if !c.mayRepeat(p) {
 		return false
 	}
 	span := c.facts.span("Safety.LookBack")
@@ -487,8 +493,9 @@
 	return float64(len(c.further)+1) <= room
 }
 
+// mayRepeat tells whether a further sub-request is allowed and harmless.
 func (c *coordinator) mayRepeat(p *part) bool {
-	effect := c.effect(p.s)
+	effect, more := c.effect(p.s), len(p.tries) < c.maxTries()
 	for _, t := range p.tries {
 		if !t.maybe && t.settled || effect == "retryable" {
 			continue
@@ -497,13 +504,13 @@
 			return false
 		}
 	}
-	return true
+	return more
 }
 
 func (c *coordinator) send(p *part, r *replica) {
 	t := &try{p: p, r: r, leg: len(p.tries), sent: c.now, out: true}
 	if t.leg > 0 {
-		c.further = append(c.further, c.now)
+		c.count(&c.further)
 		p.s.copies++
 	}
 	if c.suspect(r) {
@@ -594,7 +601,6 @@
 
 // landed is what every sub-request leaves behind for its outcome.
 func (c *coordinator) landed(t *try, ending string, wait int64) {
-	held := t.out
 	c.release(t)
 	t.settled = true
 	p, r, s := t.p, t.r, t.p.s
@@ -624,18 +630,14 @@
 		return
 	case "Canceled", "TimedOut":
 		t.maybe = true
-		if held && pace > math.Log(c.common()) || ending == "TimedOut" {
+		if ending == "TimedOut" { // what was called off was measured then
 			r.pace.add(c.now, paceSpan, pace)
 		}
-	case "Failed":
-		t.maybe = true
-		r.strikes++
-	case "QueueFull":
+	case "Failed", "QueueFull":
+		t.maybe = ending == "Failed"
 		r.strikes++
-	case "ConnectError":
-		r.down = true
-	case "ResetByPeer":
-		t.maybe, r.down = true, true
+	case "ConnectError", "ResetByPeer":
+		t.maybe, r.down = ending == "ResetByPeer", true
 	}
 	if c.suspect(r) && r.trialAt <= c.now {
 		r.trialAt = c.now + max(trialFirst, r.trialGap)
@@ -650,7 +652,7 @@
 		slices.ContainsFunc(p.tries, func(t *try) bool { return !t.settled }) {
 		return
 	}
-	if len(p.tries) < c.maxTries() && c.mayRepeat(p) {
+	if c.mayRepeat(p) {
 		c.ask(p)
 		return
 	}
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -92,9 +92,6 @@
 
 func (s *stage) end(part uint64, leg int, ending string, wait int64) {
 	sent := s.now
-	if s.ended[[2]uint64{part, uint64(leg)}] {
-		return
-	}
 	s.plan(wait, func() {
 		if key := [2]uint64{part, uint64(leg)}; !s.ended[key] {
 			s.ended[key] = true
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,7 +5,7 @@
 // search is one search this co-ordinator holds.
 type search struct {
 	id, number     uint64
-	qtype, tenant  int
+	qtype          int
 	came, left     int64 // left: when it left the queue, 0 while it waits
 	due, useful    int64 // last moment for a final answer; end of the latency target
 	step           int
