--- /dev/null
+++ b/coordinator/clients.go
@@ -0,0 +1,334 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"chalkring/internal/http1"
+)
+
+// front is the clients' side: it turns HTTP requests into searches for the owner and results into responses.
+type front struct {
+	o                *owner
+	classes, tenants map[string]int
+	stopping         context.Context // done once no new requests are awaited
+}
+
+// accept takes clients' connections in until the listener is closed. With its share of the descriptors in
+// use it lets them wait in the system's backlog.
+func (f *front) accept() error {
+	o := f.o
+	room := make(chan struct{}, max(1, int(clientShare*float64(o.plan.Sockets))))
+	for {
+		select {
+		case room <- struct{}{}:
+		default:
+			o.Log.Printf("event=no_descriptor side=clients open=%d", cap(room))
+			select {
+			case room <- struct{}{}:
+			case <-o.ctx.Done():
+				return nil
+			}
+		}
+		conn, err := o.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			o.post(func() { o.ending = true })
+			return nil
+		}
+		if err != nil {
+			<-room
+			o.Log.Printf("event=accept_failed error=%q", err)
+			select {
+			case <-o.Clock.After(acceptPause):
+			case <-o.ctx.Done():
+			}
+			continue
+		}
+		l := newLink(o.ctx, clientRoom)
+		o.post(func() { o.clients[l] = true })
+		o.g.Go(func() error {
+			c := &client{front: f, link: l, conn: conn, answered: make(chan struct{}, 1)}
+			end := c.serve(conn, clientStall, c.read, c.wrote)
+			<-room
+			o.post(func() {
+				delete(o.clients, l)
+				if c.search != nil { // whichever way it ended: a search still on it has lost its client
+					o.withdraw(c.search)
+				}
+			})
+			if end == slow || end == garbled || end == crowded || end == stuck {
+				o.Log.Printf("event=client_connection_ended client=%s end=%s", conn.RemoteAddr(), end)
+			}
+			return nil
+		})
+	}
+}
+
+// client is one client's connection. Its fields are the reading goroutine's, but for over.
+type client struct {
+	*front
+	*link
+	conn     net.Conn
+	until    time.Time // of the request that is being read
+	search   *search   // the last one
+	waiting  bool      // for an answer
+	answered chan struct{}
+	over     atomic.Bool // the last answer is out
+}
+
+func (c *client) awaits() bool {
+	select {
+	case <-c.answered:
+		c.waiting = false
+	default:
+	}
+	return c.waiting
+}
+
+// Read reads on over the deadlines that others set to wake it.
+func (c *client) Read(p []byte) (int, error) {
+	for {
+		n, err := c.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		switch now := time.Now(); {
+		case c.over.Load():
+			return 0, closing
+		case !c.until.IsZero() && now.Before(c.until):
+			c.conn.SetReadDeadline(c.until)
+		case !c.until.IsZero():
+			return 0, slow
+		case c.awaits():
+			c.conn.SetReadDeadline(time.Time{})
+		case c.stopping.Err() != nil:
+			return 0, closing
+		default:
+			return 0, unused
+		}
+	}
+}
+
+// read takes requests one after another. While a search is on, it waits for the next request, and so sees
+// the client leave.
+func (c *client) read() error {
+	kick := context.AfterFunc(c.stopping, func() { c.conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer kick()
+	buf := lend()
+	defer giveBack(buf)
+	rd := http1.NewReader(c, (*buf)[:bufferSize])
+	for {
+		c.until = time.Time{}
+		limit := time.Time{}
+		if !c.awaits() {
+			limit = time.Now().Add(quietTime)
+		}
+		c.conn.SetReadDeadline(limit)
+		if c.stopping.Err() != nil { // the kick may have come before
+			c.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+		if err := rd.Await(); err != nil {
+			return endingOf(err)
+		}
+		if c.over.Load() {
+			return closing
+		}
+		c.until = time.Now().Add(headTime)
+		c.conn.SetReadDeadline(c.until)
+		method, target, head, body, keep, err := rd.Request()
+		came := c.o.Clock.Now()
+		if c.awaits() { // sent ahead: answers keep their order
+			select {
+			case <-c.answered:
+				c.waiting = false
+			case <-c.ctx.Done():
+				return closing
+			}
+			if c.over.Load() {
+				return closing
+			}
+		}
+		if err == nil {
+			c.waiting = true
+			err = c.request(method, target, head, body, keep, came)
+			keep = keep && err == nil
+		} else {
+			keep = false
+		}
+		var bad http1.Fault
+		if errors.As(err, &bad) {
+			c.o.Log.Printf("event=bad_request client=%s status=%d error=%q", c.conn.RemoteAddr(), bad.Status,
+				bad.Text)
+			c.respond(bad.Status, "", []byte("{}"), false)
+			io.Copy(io.Discard, c) // so that the client can read why, whatever it still sends
+			return garbled
+		}
+		if err != nil {
+			return endingOf(err)
+		}
+	}
+}
+
+// wrote is told of each answer that is out whole.
+func (c *client) wrote(p *parcel) error {
+	if p.last || c.stopping.Err() != nil {
+		c.over.Store(true)
+		half, ok := c.conn.(interface{ CloseWrite() error })
+		if !ok || half.CloseWrite() != nil {
+			return closing
+		}
+		c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	} else {
+		c.conn.SetReadDeadline(time.Now().Add(quietTime))
+	}
+	select {
+	case c.answered <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (c *client) respond(status int, extra string, body []byte, keep bool) {
+	keep = keep && c.stopping.Err() == nil
+	b := lend()
+	*b = http1.AppendResponse(*b, status, extra, body, keep)
+	c.put(&parcel{b: b, last: !keep})
+}
+
+func refuse(format string, v ...any) error {
+	return http1.Fault{Status: 400, Text: fmt.Sprintf(format, v...)}
+}
+
+// request hands one request to the owner.
+func (c *client) request(method, target string, head map[string]string, body []byte, keep bool,
+	came time.Time) error {
+	o := c.o
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return refuse("target %.40q", target)
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(u.Path, "/"), "/")
+	if u.Path == "/healthz" {
+		if method != "GET" {
+			return http1.Fault{Status: 405, Text: "method of /healthz"}
+		}
+		o.post(func() {
+			status := 200
+			if !o.listed || c.stopping.Err() != nil {
+				status = 503
+			}
+			c.respond(status, "", []byte("{}"), keep)
+		})
+		return nil
+	}
+	_, known := c.classes[first]
+	qtype, ok := c.classes[head["x-class"]]
+	switch {
+	case method != "POST" && known:
+		return http1.Fault{Status: 405, Text: "method of a search"}
+	case method != "POST":
+		return http1.Fault{Status: 404, Text: "no such path"}
+	case !ok:
+		return refuse("X-Class %.40q", head["x-class"])
+	case first != head["x-class"]:
+		return refuse("X-Class is not the path's")
+	}
+	s := &search{name: head["x-request-id"], key: u.Query().Get("k"), qtype: qtype, came: came,
+		retry: head["x-retry"] == "1"}
+	if !plainName(s.name) {
+		return refuse("X-Request-Id %.40q", s.name)
+	}
+	if s.tenant, ok = c.tenants[head["x-tenant"]]; !ok && len(c.tenants) > 0 {
+		return refuse("X-Tenant %.40q", head["x-tenant"])
+	}
+	wait, err := strconv.ParseFloat(head["x-deadline"], 64)
+	if err != nil || strings.Trim(head["x-deadline"], "0123456789.") != "" || wait <= 0 {
+		return refuse("X-Deadline %.40q", head["x-deadline"])
+	}
+	s.patience = time.Duration(math.Min(wait, longWait.Seconds()) * float64(time.Second))
+	if err := s.read(body, int(o.plan.fact("Specifics.Ranges"))); err != nil {
+		return err
+	}
+	s.reply = func(r result) { c.answer(r, keep) }
+	c.search = s
+	o.post(func() { o.take(s) })
+	return nil
+}
+
+// plainName tells whether text can stand in a frame's line.
+func plainName(text string) bool {
+	for i := 0; i < len(text); i++ {
+		if text[i] <= ' ' || text[i] >= 127 {
+			return false
+		}
+	}
+	return text != "" && len(text) <= nameMost
+}
+
+// read takes the parts and their text from a request's body.
+func (s *search) read(body []byte, shards int) error {
+	all, err := object(body)
+	if err != nil {
+		return refuse("body: %v", err)
+	}
+	list, _ := all["ranges"].([]any)
+	text, ok := all["predicate"].(string)
+	if len(list) == 0 || !ok {
+		return refuse("body without ranges or predicate")
+	}
+	s.text = []byte(text)
+	seen, sum := map[int]bool{}, 0.0
+	for _, item := range list {
+		m, _ := item.(map[string]any)
+		shard, ok1 := amount(m["range"])
+		weight, ok2 := amount(m["portion"])
+		n := int(shard)
+		if !ok1 || shard != math.Trunc(shard) || n < 0 || n >= shards || seen[n] {
+			return refuse("range %v", m["range"])
+		}
+		if !ok2 || weight < 0 {
+			return refuse("portion %v", m["portion"])
+		}
+		seen[n], sum = true, sum+weight
+		s.shards, s.weights = append(s.shards, n), append(s.weights, weight)
+	}
+	if math.Abs(sum-1) > weightSlack {
+		return refuse("portions add up to %g", sum)
+	}
+	return nil
+}
+
+// answer writes a final answer; an owner's call.
+func (c *client) answer(r result, keep bool) {
+	switch r.kind {
+	case errored:
+		c.respond(500, "", []byte("{}"), keep)
+	case shed:
+		extra := ""
+		if r.retryIn > 0 {
+			extra = "Retry-After: " + strconv.FormatFloat(float64(r.retryIn)/10_000, 'f', 4, 64)
+		}
+		c.respond(503, extra, []byte("{}"), keep)
+	default:
+		body := fmt.Appendf(nil, `{"total":%t,"answers":[`, r.whole)
+		for i, p := range r.parts {
+			if i > 0 {
+				body = append(body, ',')
+			}
+			value, _ := json.Marshal(string(p.value))
+			body = fmt.Appendf(body, `{"range":%d,"blob":%s}`, p.shard, value)
+		}
+		c.respond(200, "", append(body, "]}"...), keep)
+	}
+}
--- /dev/null
+++ b/coordinator/connections.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// ending is how a connection came to its end. It is the error of all code on that connection.
+type ending int
+
+const (
+	_          ending = iota
+	notUp             // refused, or not up in time
+	peerLeft          // the other side closed it between messages
+	broken            // reset, or cut inside a message
+	stuck             // a write failed or did not end in time
+	slow              // a message was begun and not finished in time
+	garbled           // what came cannot be used
+	complained        // the other side could not use what we sent
+	crowded           // its backlog was full
+	unused            // closed here: nothing was on it for long
+	retired           // closed here: its replica is gone or moved, or it has gone silent
+	closing           // closed here after a last answer, or as the co-ordinator stops
+)
+
+var endingWords = [...]string{"", "not_up", "peer_left", "broken", "stuck", "slow", "garbled", "complained",
+	"crowded", "unused", "retired", "closing"}
+
+func (e ending) Error() string { return endingWords[e] }
+
+// outcome is the one place where ends of connections become the module's words: what never was on the
+// connection whole has not run; anything else may have.
+func (e ending) outcome(written bool) string {
+	if e == notUp || !written {
+		return "ConnectError"
+	}
+	return "ResetByPeer"
+}
+
+// endingOf names what reading met.
+func endingOf(err error) ending {
+	var e ending
+	switch {
+	case errors.As(err, &e):
+		return e
+	case err == io.EOF:
+		return peerLeft
+	case errors.Is(err, context.Canceled), errors.Is(err, errDone):
+		return closing
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return slow
+	}
+	return broken
+}
+
+// buffers are all of one size; what outgrew it is left to the collector.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, bufferSize); return &b }}
+
+func lend() *[]byte { return buffers.Get().(*[]byte) }
+
+func giveBack(b *[]byte) {
+	if cap(*b) == bufferSize {
+		*b = (*b)[:0]
+		buffers.Put(b)
+	}
+}
+
+// parcel is one message on its way to a socket.
+type parcel struct {
+	b     *[]byte
+	last  bool // the connection ends after it
+	stage atomic.Int32
+}
+
+const (
+	queued int32 = iota
+	begun
+	written
+	called // back before it was begun
+)
+
+// recall takes a parcel back; false where its first byte may be out.
+func (p *parcel) recall() bool { return p.stage.CompareAndSwap(queued, called) }
+
+// link is one connection: its socket, and what waits to be written to it.
+type link struct {
+	backlog chan *parcel
+	end     context.CancelCauseFunc
+	ctx     context.Context
+}
+
+func newLink(ctx context.Context, room int) *link {
+	l := &link{backlog: make(chan *parcel, room)}
+	l.ctx, l.end = context.WithCancelCause(ctx)
+	return l
+}
+
+// put hands a message over without waiting; a full backlog ends the connection.
+func (l *link) put(p *parcel) {
+	select {
+	case l.backlog <- p:
+	default:
+		l.end(crowded)
+	}
+}
+
+// serve runs a connection to its end: read in one goroutine, the writer in another.
+func (l *link) serve(conn net.Conn, stall time.Duration, read func() error, wrote func(*parcel) error) ending {
+	g, ctx := errgroup.WithContext(l.ctx)
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	g.Go(read)
+	g.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case p := <-l.backlog:
+				if !p.stage.CompareAndSwap(queued, begun) {
+					giveBack(p.b)
+					continue
+				}
+				conn.SetWriteDeadline(time.Now().Add(stall))
+				if _, err := conn.Write(*p.b); err != nil {
+					return stuck
+				}
+				p.stage.Store(written)
+				giveBack(p.b)
+				if err := wrote(p); err != nil {
+					return err
+				}
+			}
+		}
+	})
+	err := g.Wait()
+	if cause := context.Cause(l.ctx); cause != nil {
+		err = cause // this side ended it: reads and writes failed for that
+	}
+	return endingOf(err)
+}
--- /dev/null
+++ b/coordinator/discovery.go
@@ -0,0 +1,170 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"chalkring/internal/http1"
+)
+
+var states = map[string]string{"up": "healthy", "draining": "cordoned", "removed": "deregistered"}
+
+// readList looks at a whole list or changes and returns what tells the owner and the module of them.
+func (o *owner) readList(all map[string]any) (tell func(how string), err error) {
+	version, ok := amount(all["version"])
+	list, ok2 := all["servers"].([]any)
+	if !ok || !ok2 {
+		return nil, errors.New("no version or no servers")
+	}
+	var steps []func()
+	present := map[string]bool{}
+	for _, item := range list {
+		m, _ := item.(map[string]any)
+		id, addr, status := word(m["id"]), word(m["addr"]), states[word(m["state"])]
+		cell, ok := amount(m["cell"])
+		units, _ := amount(m["weight"])
+		since, _ := amount(m["started_ms"])
+		if id == "" || status == "" || addr == "" && status != "deregistered" || !ok && status != "deregistered" {
+			return nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
+		}
+		zone, kind := o.nth("FailureDomains", word(m["zone"])), o.nth("MachineTypes", word(m["kind"]))
+		present[id] = status != "deregistered"
+		steps = append(steps, func() {
+			o.place(id, addr, status == "deregistered")
+			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
+		})
+	}
+	return func(how string) {
+		for _, step := range steps {
+			step()
+		}
+		if how != "Partial" {
+			for id := range o.fleet {
+				if !present[id] {
+					o.place(id, "", true)
+				}
+			}
+		}
+		o.listed = o.listed || len(o.fleet) > 0
+		o.module.ListDone(how, int64(version))
+		o.Log.Printf("event=list how=%s version=%.0f entries=%d", how, version, len(list))
+	}, nil
+}
+
+// nth is the place of a name in a list of the settings; a name that is not there comes after all.
+func (o *owner) nth(list, name string) int {
+	names := o.plan.list(list)
+	if i := slices.Index(names, plainText(name)); i >= 0 {
+		return i
+	}
+	return len(names)
+}
+
+// follow keeps the list up to date. Where the settings leave the asking to the module, each of its
+// subscriptions lasts until it fails, and the module hears of that; elsewhere the list comes by itself, and
+// failures here are followed by waits that grow, spread by chance.
+func (o *owner) follow() error {
+	asked := o.plan.facts["Discovery"] == "subscribe"
+	chance, pause := rand.New(rand.NewSource(o.plan.seed)), askPause
+	version, _ := amount(o.plan.known["version"])
+	for {
+		if asked {
+			select {
+			case <-o.asks:
+			case <-o.ctx.Done():
+				return nil
+			}
+		}
+		before := version
+		err := o.watch(&version)
+		if o.ctx.Err() != nil {
+			return nil
+		}
+		o.Log.Printf("event=list_failed version=%.0f error=%q", version, err)
+		if asked {
+			o.post(func() { o.module.ListDone("Error", 0) })
+			continue
+		}
+		if version > before {
+			pause = askPause
+		}
+		select {
+		case <-o.Clock.After(pause/2 + time.Duration(chance.Int63n(int64(pause)))):
+		case <-o.ctx.Done():
+		}
+		pause = min(2*pause, askPauseMost)
+	}
+}
+
+// watch makes one call after another, until one fails.
+func (o *owner) watch(version *float64) error {
+	for {
+		ctx, stop := context.WithTimeout(o.ctx, watchSlack)
+		conn, err := o.Dial(ctx, "tcp", o.plan.Discovery)
+		stop()
+		if err != nil {
+			return fmt.Errorf("%w: %w", notUp, err)
+		}
+		unhook := context.AfterFunc(o.ctx, func() { conn.Close() })
+		buf := lend()
+		rd := http1.NewReader(conn, (*buf)[:bufferSize])
+		for keep := true; keep && err == nil; {
+			target := fmt.Sprintf("/v1/servers?index=%.0f&wait=%d", *version, watchWait.Milliseconds())
+			asked, before := time.Now(), *version
+			conn.SetDeadline(asked.Add(watchWait + watchSlack))
+			if _, err = conn.Write(http1.AppendGet(nil, target, o.plan.Discovery)); err != nil {
+				break
+			}
+			var status int
+			var body []byte
+			if status, _, body, keep, err = rd.Response(); err == nil && status != 200 {
+				err = fmt.Errorf("status %d", status)
+			}
+			if err == nil {
+				err = o.heardList(body, version)
+			}
+			if err == nil && *version == before && time.Since(asked) < watchWait/2 {
+				err = errors.New("nothing new, and no wait") // guards against asking without end
+			}
+		}
+		giveBack(buf)
+		unhook()
+		conn.Close()
+		if err != nil {
+			return fmt.Errorf("%w: %w", endingOf(err), err)
+		}
+	}
+}
+
+// heardList takes one answer; one that is older than the list or cannot be read leaves the list as it is.
+func (o *owner) heardList(body []byte, version *float64) error {
+	all, err := object(body)
+	if err != nil {
+		return err
+	}
+	tell, err := o.readList(all)
+	if err != nil {
+		return err
+	}
+	v, _ := amount(all["version"])
+	full, _ := all["full"].(bool)
+	switch {
+	case v < *version:
+		return fmt.Errorf("version %.0f after %.0f", v, *version)
+	case v == *version:
+		return nil
+	}
+	*version = v
+	how := "Partial"
+	if full {
+		how = "Complete"
+	}
+	if !o.post(func() { tell(how) }) {
+		return closing
+	}
+	return nil
+}
--- /dev/null
+++ b/coordinator/owner.go
@@ -0,0 +1,366 @@
+package coordinator
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"fmt"
+	"math/big"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chalkring/logic"
+)
+
+// owner owns the module. All but queue, asks and ctx is touched by its goroutine alone; fronts, replicas'
+// connections and discovery post closures to queue. It waits for nothing but that queue and its next wake,
+// so they may wait for it. The queue is bounded by queueRoom; while it is full, sockets are not read.
+type owner struct {
+	Means
+	plan   *Plan
+	module logic.Coordinator
+	g      *errgroup.Group
+	ctx    context.Context
+	queue  chan func()
+	asks   chan struct{} // subscriptions that the module asked for
+
+	start    time.Time
+	base     int64 // Unix time of start in tenths of a millisecond
+	now      int64
+	wakes    wakes
+	next     []func() // what the next turn begins with
+	lastID   uint64
+	searches map[uint64]*search
+	parts    map[uint64]*part
+	fleet    map[string]*replica
+	order    []*replica // with calls to go out at the end of the turn
+	lines    int        // connections to replicas
+	open     int        // searches and parts held
+	listed   bool
+	clients  map[*link]bool
+	ending   bool // no new client connections come
+}
+
+// search is one search from its request to its final answer. The front that took it makes it; reply is
+// what it leaves for that answer.
+type search struct {
+	name, key     string
+	text          []byte
+	qtype, tenant int
+	retry         bool
+	came          time.Time
+	patience      time.Duration // of the client, from came
+	shards        []int
+	weights       []float64
+	reply         func(r result)
+
+	id    uint64
+	due   int64
+	step  int
+	whole bool
+	from  []int // shards that were in at the end of the first step
+	parts []*part
+	over  bool
+}
+
+// result is a final answer.
+type result struct {
+	kind    int
+	whole   bool
+	retryIn int64
+	parts   []*part // in the order they came
+}
+
+const (
+	answered = iota
+	shed
+	errored
+)
+
+// part is one part of a search's step.
+type part struct {
+	id     uint64
+	s      *search
+	step   int
+	shard  int
+	in     bool
+	score  *big.Int
+	value  []byte
+	subs   []*subRequest
+	untold int // sub-requests whose outcome the module has not heard
+}
+
+// over tells that the part needs no more.
+func (p *part) over() bool { return p.in || p.s.over || p.step != p.s.step }
+
+// wake is something to do at a time.
+type wake struct {
+	at int64
+	no uint64
+	do func()
+}
+
+type wakes struct {
+	list []wake
+	no   uint64
+}
+
+func (w *wakes) Len() int { return len(w.list) }
+func (w *wakes) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(w.list[i].at, w.list[j].at), cmp.Compare(w.list[i].no, w.list[j].no)) < 0
+}
+func (w *wakes) Swap(i, j int) { w.list[i], w.list[j] = w.list[j], w.list[i] }
+func (w *wakes) Push(v any)    { w.list = append(w.list, v.(wake)) }
+func (w *wakes) Pop() any {
+	last := len(w.list) - 1
+	v := w.list[last]
+	w.list[last] = wake{}
+	w.list = w.list[:last]
+	return v
+}
+
+// post hands the owner something to do; false once the co-ordinator has ended.
+func (o *owner) post(do func()) bool {
+	select {
+	case o.queue <- do:
+		return true
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+// clock is Unix time in tenths of a millisecond, and monotonic: wall time counts at the start alone.
+func (o *owner) clock() int64 { return o.base + int64(o.Clock.Now().Sub(o.start)/tenth) }
+
+const tenth = 100 * time.Microsecond
+
+// begin starts the module with its settings and the list as it was last known.
+func (o *owner) begin() (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the module: %v", r)
+		}
+	}()
+	o.now = o.clock()
+	o.module.Clock(o.now)
+	o.module.Start(o.plan.seed, o.plan.facts)
+	tell, err := o.readList(o.plan.known)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	tell("Persisted")
+	o.module.EndOfBatch()
+	return nil
+}
+
+func (o *owner) run() error {
+	for {
+		var wake <-chan time.Time
+		switch {
+		case len(o.next) > 0:
+			o.turn(nil)
+			continue
+		case o.wakes.Len() > 0:
+			wait := o.wakes.list[0].at - o.clock()
+			if wait <= 0 {
+				o.turn(nil)
+				continue
+			}
+			wake = o.Clock.After(time.Duration(wait) * tenth)
+		}
+		if o.ending && len(o.clients) == 0 && len(o.searches) == 0 {
+			return errDone
+		}
+		select {
+		case do := <-o.queue:
+			o.turn(do)
+		case <-wake:
+			o.turn(nil)
+		case <-o.ctx.Done():
+			return o.ctx.Err()
+		}
+	}
+}
+
+// turn is one turn of the module: all that is queued by now, the wakes that are due, EndOfBatch.
+func (o *owner) turn(first func()) {
+	o.now = max(o.now, o.clock())
+	o.module.Clock(o.now)
+	before := o.next
+	o.next = nil
+	for _, do := range before {
+		do()
+	}
+	if first != nil {
+		first()
+	}
+	for n := len(o.queue); n > 0; n-- {
+		(<-o.queue)()
+	}
+	var due []wake
+	for o.wakes.Len() > 0 && o.wakes.list[0].at <= o.now {
+		due = append(due, heap.Pop(&o.wakes).(wake))
+	}
+	for _, w := range due {
+		w.do()
+	}
+	o.module.EndOfBatch()
+	o.sendCalls()
+}
+
+func (o *owner) after(wait int64, do func()) {
+	o.wakes.no++
+	heap.Push(&o.wakes, wake{o.now + max(wait, 0), o.wakes.no, do})
+}
+
+func (o *owner) later(do func()) { o.next = append(o.next, do) }
+
+func (o *owner) number() uint64 {
+	o.lastID++
+	return o.lastID
+}
+
+// take hands a search to the module. As the settings' MaxOpen says, more than it can hold is turned away
+// before it reaches the module.
+func (o *owner) take(s *search) {
+	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
+	if most := o.plan.fact("Permissions.MaxOpen"); float64(o.open+1+len(s.shards)) > most {
+		o.Log.Printf("event=full open=%d most=%g", o.open, most)
+		s.reply(result{kind: shed})
+		return
+	}
+	s.id, s.step = o.number(), 1
+	o.searches[s.id] = s
+	o.open++
+	o.module.Search(s.id, s.qtype, s.tenant, s.key, s.due-o.now, s.id, len(s.shards), s.retry)
+	o.addParts(s, s.shards, s.weights)
+}
+
+func (o *owner) addParts(s *search, shards []int, weights []float64) {
+	from := len(s.parts)
+	for _, shard := range shards {
+		p := &part{id: o.number(), s: s, step: s.step, shard: shard}
+		s.parts = append(s.parts, p)
+		o.parts[p.id] = p
+		o.open++
+	}
+	for i, p := range s.parts[from:] {
+		o.module.Part(p.id, s.id, p.shard, weights[i])
+	}
+}
+
+// withdraw tells the module that the client has left.
+func (o *owner) withdraw(s *search) {
+	if s.id == 0 || s.over {
+		return
+	}
+	o.finish(s)
+	o.module.Withdrawn(s.id)
+}
+
+func (o *owner) finish(s *search) {
+	s.over = true
+	delete(o.searches, s.id)
+	o.open--
+	for _, p := range s.parts {
+		o.open--
+		o.drop(p)
+	}
+}
+
+// drop forgets a part once its search is over and all its sub-requests are told: until then the module may
+// cancel them.
+func (o *owner) drop(p *part) {
+	if p.s.over && p.untold == 0 {
+		delete(o.parts, p.id)
+	}
+}
+
+func (o *owner) in(s *search) []*part {
+	var in []*part
+	for _, p := range s.parts {
+		if p.in && p.step == s.step {
+			in = append(in, p)
+		}
+	}
+	return in
+}
+
+// What the module asks for; see logic.Out.
+
+func (o *owner) Answer(id uint64, whole bool) {
+	s := o.searches[id]
+	if s == nil {
+		return
+	}
+	in := o.in(s)
+	if more := int(o.followUp(s.qtype)); s.step == 1 && more > 0 {
+		s.whole = whole
+		for _, p := range in {
+			s.from = append(s.from, p.shard)
+		}
+		slices.Sort(s.from)
+		o.later(func() { o.secondStep(s, in, more) })
+		return
+	}
+	o.finish(s)
+	s.reply(result{kind: answered, whole: whole, parts: in})
+}
+
+func (o *owner) followUp(qtype int) float64 {
+	v, _ := strconv.ParseFloat(o.plan.list("Specifics.FollowUp")[qtype], 64)
+	return v
+}
+
+// secondStep makes the parts of the second step: at the shards with the highest scores, the lower number
+// first among equals, with equal weights.
+func (o *owner) secondStep(s *search, in []*part, most int) {
+	if s.over {
+		return
+	}
+	slices.SortFunc(in, func(p, q *part) int {
+		return cmp.Or(q.score.Cmp(p.score), cmp.Compare(p.shard, q.shard))
+	})
+	s.step = 2
+	var shards []int
+	var weights []float64
+	for _, p := range in[:min(most, len(in))] {
+		shards = append(shards, p.shard)
+		weights = append(weights, 1/float64(min(most, len(in))))
+	}
+	o.addParts(s, shards, weights)
+}
+
+func (o *owner) Shed(id uint64, retryIn int64) { o.end(id, result{kind: shed, retryIn: retryIn}) }
+func (o *owner) Error(id uint64)               { o.end(id, result{kind: errored}) }
+
+func (o *owner) end(id uint64, r result) {
+	if s := o.searches[id]; s != nil {
+		o.finish(s)
+		s.reply(r)
+	}
+}
+
+func (o *owner) Wake(wait int64, label uint64) {
+	o.after(max(wait, 1), func() { o.module.Timer(label) })
+}
+
+func (o *owner) Watch() {
+	select {
+	case o.asks <- struct{}{}:
+	default: // asked already
+	}
+}
+
+// Probe is answered at once with nothing: the protocol has no message for it.
+func (o *owner) Probe(id string) {
+	o.later(func() { o.module.ProbeResult(id, "ConnectError", 0, nil) })
+}
+
+func (o *owner) Note(text string) {
+	o.Log.Printf("event=note text=%q", strings.ToValidUTF8(text, "?"))
+}
--- /dev/null
+++ b/coordinator/replicas.go
@@ -0,0 +1,372 @@
+package coordinator
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"slices"
+	"strings"
+
+	"chalkring/internal/frame"
+)
+
+// replica is one machine of the list and the connections to it.
+type replica struct {
+	id, addr string
+	gone     bool
+	lines    []*line
+	calls    []*call // of this turn, not yet on a line
+}
+
+// line is one connection to a replica as the owner knows it.
+type line struct {
+	*link
+	r      *replica
+	shut   bool // takes no new calls
+	calls  int  // with a part out
+	subs   []*subRequest
+	heard  int64
+	usedAt int64
+}
+
+// call is what travels as one frame.
+type call struct {
+	subs   []*subRequest
+	line   *line
+	parcel *parcel
+	live   int
+}
+
+// subRequest is one sub-request that is out.
+type subRequest struct {
+	p    *part
+	leg  int
+	r    *replica
+	name string // its id on the wire
+	sent int64
+	due  int64
+	call *call
+}
+
+// Send starts a sub-request; it travels at the end of the turn, with others to that replica.
+func (o *owner) Send(id uint64, to string, timeout int64) {
+	p, r := o.parts[id], o.fleet[to]
+	if p == nil {
+		return
+	}
+	s := p.s
+	left := s.due - o.now
+	if timeout == 0 || timeout > left {
+		timeout = left
+	}
+	sub := &subRequest{p: p, leg: len(p.subs), r: r, name: fmt.Sprintf("%s.%d", s.name, p.shard), sent: o.now,
+		due: o.now + timeout}
+	if p.step == 2 {
+		sub.name += ".r"
+	}
+	p.subs = append(p.subs, sub)
+	p.untold++
+	early := ""
+	switch {
+	case float64(sub.leg) >= o.plan.fact("Permissions.MaxAttempts") || p.over():
+		early = "Ignored"
+	case timeout <= 0:
+		early = "TimedOut"
+	case r == nil:
+		early = "ConnectError"
+	}
+	if early != "" {
+		o.later(func() { o.landed(sub, early, nil) })
+		return
+	}
+	var c *call
+	if n := len(r.calls); n > 0 && float64(len(r.calls[n-1].subs)) < o.plan.fact("Specifics.PerCall") {
+		c = r.calls[n-1]
+	} else {
+		if c = (&call{}); n == 0 {
+			o.order = append(o.order, r)
+		}
+		r.calls = append(r.calls, c)
+	}
+	sub.call = c
+	c.subs = append(c.subs, sub)
+	c.live++
+	o.after(timeout, func() { o.giveUp(sub, "TimedOut") })
+}
+
+// Cancel gives a sub-request up.
+func (o *owner) Cancel(id uint64, leg int) {
+	if p := o.parts[id]; p != nil && leg < len(p.subs) {
+		o.giveUp(p.subs[leg], "Canceled")
+	}
+}
+
+// giveUp stops waiting for a sub-request, if it is still out.
+func (o *owner) giveUp(sub *subRequest, outcome string) {
+	if sub.call == nil {
+		return
+	}
+	c := sub.call
+	o.leave(sub)
+	if l := c.line; l != nil {
+		if c.parcel.recall() {
+			o.load(l, c) // what is left of the call goes without it
+		} else {
+			b := lend()
+			*b = frame.AppendCancel(*b, sub.name)
+			l.put(&parcel{b: b})
+		}
+		// Guards against a machine that went silent: its open connection would swallow part after part. One
+		// new connection tells more than the old one: it comes up or does not.
+		if l.heard < sub.sent && o.now-sub.sent > silentDials*int64(o.plan.span("Permissions.DialTimeout")/tenth) {
+			o.retire(l)
+		}
+	}
+	o.later(func() { o.landed(sub, outcome, nil) })
+}
+
+// leave takes a sub-request off its call and connection.
+func (o *owner) leave(sub *subRequest) {
+	c := sub.call
+	sub.call = nil
+	c.subs = slices.DeleteFunc(c.subs, func(x *subRequest) bool { return x == sub })
+	c.live--
+	if l := c.line; l != nil {
+		l.subs = slices.DeleteFunc(l.subs, func(x *subRequest) bool { return x == sub })
+		l.usedAt = o.now
+		if c.live == 0 {
+			l.calls--
+			o.mayClose(l)
+		}
+	}
+}
+
+// landed tells the module how a sub-request ended.
+func (o *owner) landed(sub *subRequest, outcome string, report map[string]float64) {
+	sub.p.untold--
+	o.module.Outcome(sub.p.id, sub.leg, outcome, o.now-sub.sent, sub.p.over(), report)
+	o.drop(sub.p)
+}
+
+// sendCalls puts the turn's calls on connections.
+func (o *owner) sendCalls() {
+	for _, r := range o.order {
+		for _, c := range r.calls {
+			if len(c.subs) == 0 {
+				continue
+			}
+			l := o.lineFor(r, c)
+			if l == nil {
+				for _, sub := range slices.Clone(c.subs) {
+					o.leave(sub)
+					o.later(func() { o.landed(sub, notUp.outcome(false), nil) })
+				}
+				continue
+			}
+			c.line = l
+			l.calls++
+			l.subs = append(l.subs, c.subs...)
+			o.load(l, c)
+		}
+		r.calls = nil
+	}
+	o.order = o.order[:0]
+}
+
+// load writes a call's frame.
+func (o *owner) load(l *line, c *call) {
+	if len(c.subs) == 0 {
+		return
+	}
+	b := lend()
+	*b = frame.Begin(*b, frame.Call)
+	for _, sub := range c.subs {
+		list := fmt.Sprintf("d=%d", max(1, (sub.due-o.now)/10))
+		if s := sub.p.s; sub.p.step == 2 {
+			from := strings.Trim(strings.ReplaceAll(fmt.Sprint(s.from), " ", "+"), "[]")
+			whole := 0
+			if s.whole {
+				whole = 1
+			}
+			list = fmt.Sprintf("%s,from=%s,whole=%d", list, from, whole)
+		}
+		*b = frame.AppendPart(*b, sub.name, sub.p.shard, list, sub.p.s.text)
+	}
+	*b = frame.End(*b, 0)
+	c.parcel = &parcel{b: b}
+	l.usedAt = o.now
+	l.put(c.parcel)
+}
+
+// lineFor finds a connection with room for a call, or opens one; nil where no descriptor is left for it.
+func (o *owner) lineFor(r *replica, c *call) *line {
+	for _, l := range r.lines {
+		if !l.shut && float64(l.calls) < o.plan.fact("Permissions.StreamsPerConn") && !l.has(c) {
+			return l
+		}
+	}
+	if float64(o.lines) >= replicaShare*float64(o.plan.Sockets) {
+		o.Log.Printf("event=no_descriptor side=replicas open=%d", o.lines)
+		return nil
+	}
+	return o.dial(r)
+}
+
+// has tells whether one of a call's ids is out on the connection already: two searches may bear one name.
+func (l *line) has(c *call) bool {
+	return slices.ContainsFunc(c.subs, func(sub *subRequest) bool { return l.find(sub.name) != nil })
+}
+
+func (l *line) find(name string) *subRequest {
+	for _, sub := range l.subs {
+		if sub.name == name {
+			return sub
+		}
+	}
+	return nil
+}
+
+// dial opens a connection; what is put on it waits until it is up.
+func (o *owner) dial(r *replica) *line {
+	l := &line{link: newLink(o.ctx, replicaRoom), r: r, usedAt: o.now}
+	r.lines = append(r.lines, l)
+	o.lines++
+	addr, wait := r.addr, o.plan.span("Permissions.DialTimeout")
+	o.g.Go(func() error {
+		end := notUp
+		ctx, stop := context.WithTimeout(l.ctx, wait)
+		conn, err := o.Dial(ctx, "tcp", addr)
+		stop()
+		if err == nil {
+			end = l.serve(conn, wait, func() error { return o.hear(l, conn) },
+				func(*parcel) error { return nil })
+		}
+		o.post(func() { o.ended(l, end, addr) })
+		return nil
+	})
+	o.after(int64(idleShare*float64(o.plan.span("Permissions.ConnIdle")/tenth)), func() { o.idle(l) })
+	return l
+}
+
+// hear reads a replica's frames to the end of the connection.
+func (o *owner) hear(l *line, conn net.Conn) error {
+	src := bufio.NewReaderSize(conn, bufferSize)
+	for {
+		letter, rest, err := frame.Read(src)
+		switch {
+		case errors.Is(err, frame.ErrBad):
+			o.Log.Printf("event=bad_frame replica=%s error=%q", l.r.id, err)
+			return garbled
+		case err == io.EOF:
+			return peerLeft
+		case err != nil:
+			return broken
+		case letter == frame.Refuse:
+			o.Log.Printf("event=frame_refused replica=%s words=%.200q", l.r.id, rest)
+			return complained
+		case letter != frame.Answer:
+			o.Log.Printf("event=bad_frame replica=%s letter=%q", l.r.id, letter)
+			return garbled
+		}
+		id, end, score, report, value, err := frame.ReadAnswer(rest)
+		outcome := map[string]string{"good": "Ok", "bad": "Failed", "later": "QueueFull"}[end]
+		if err == nil && (outcome == "" || outcome == "Ok" && score == nil) {
+			err = fmt.Errorf("%w: end %.20q, score %v", frame.ErrBad, end, score)
+		}
+		if err != nil {
+			o.Log.Printf("event=bad_frame replica=%s error=%q", l.r.id, err)
+			return garbled
+		}
+		if !o.post(func() { o.answer(l, id, outcome, score, report, value) }) {
+			return closing
+		}
+	}
+}
+
+// answer takes a replica's answer; one to a part that is no longer out is dropped.
+func (o *owner) answer(l *line, id, outcome string, score *big.Int, report map[string]float64, value []byte) {
+	l.heard = o.now
+	sub := l.find(id)
+	if sub == nil {
+		return
+	}
+	o.leave(sub)
+	if p := sub.p; outcome == "Ok" && !p.over() {
+		p.in, p.score, p.value = true, score, value
+	}
+	o.landed(sub, outcome, report)
+}
+
+// ended tells what a connection's end means for the parts that were out on it.
+func (o *owner) ended(l *line, end ending, addr string) {
+	l.shut = true
+	l.end(end)
+	o.lines--
+	l.r.lines = slices.DeleteFunc(l.r.lines, func(x *line) bool { return x == l })
+	if len(l.subs) > 0 || end == notUp {
+		o.Log.Printf("event=replica_connection_ended replica=%s addr=%s end=%s parts=%d", l.r.id, addr, end,
+			len(l.subs))
+	}
+	for _, sub := range slices.Clone(l.subs) {
+		outcome := end.outcome(sub.call.parcel.stage.Load() == written)
+		o.leave(sub)
+		o.landed(sub, outcome, nil)
+	}
+	o.forget(l.r)
+}
+
+// idle closes a connection that has been unused before its replica would.
+func (o *owner) idle(l *line) {
+	if l.shut {
+		return
+	}
+	most := int64(idleShare * float64(o.plan.span("Permissions.ConnIdle")/tenth))
+	if left := l.usedAt + most - o.now; left > 0 || l.calls > 0 {
+		o.after(max(left, most/4), func() { o.idle(l) })
+		return
+	}
+	l.shut = true
+	l.end(unused)
+}
+
+// retire lets a connection end once nothing is out on it.
+func (o *owner) retire(l *line) {
+	l.shut = true
+	o.mayClose(l)
+}
+
+func (o *owner) mayClose(l *line) {
+	if l.shut && l.calls == 0 {
+		l.end(retired)
+	}
+}
+
+// forget drops a replica that has left the list once it has no connection.
+func (o *owner) forget(r *replica) {
+	if r.gone && len(r.lines) == 0 && len(r.calls) == 0 && o.fleet[r.id] == r {
+		delete(o.fleet, r.id)
+	}
+}
+
+// place notes where a replica is; old connections to another address take nothing new.
+func (o *owner) place(id, addr string, gone bool) {
+	r := o.fleet[id]
+	if r == nil {
+		if gone {
+			return
+		}
+		r = &replica{id: id}
+		o.fleet[id] = r
+	}
+	if gone || r.addr != addr {
+		for _, l := range slices.Clone(r.lines) {
+			o.retire(l)
+		}
+	}
+	r.addr, r.gone = addr, gone
+	o.forget(r)
+}
--- /dev/null
+++ b/coordinator/start.go
@@ -0,0 +1,316 @@
+// Package coordinator is one chalkring co-ordinator on sockets. Read its plan, then Serve it: the decision
+// module in package logic decides, this package carries out. docs/architecture.md tells how the files fit.
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chalkring/logic"
+)
+
+// The constants of the network. What the settings state is not among them.
+const (
+	bufferSize   = 16 << 10               // bytes: a head and most whole messages; 1,000 of them are 16 MB
+	queueRoom    = 1024                   // events waiting for the owner: some for each descriptor of a usual limit
+	clientRoom   = 4                      // answers waiting on a client's connection: clients send one at a time
+	replicaRoom  = 512                    // frames waiting on a replica's: calls of 32 streams with their cancels
+	clientShare  = 0.55                   // of the descriptors go to clients; a search rests on several replicas,
+	replicaShare = 0.35                   // yet parts share connections; the rest is for list, log, runtime
+	memoryShare  = 0.75                   // of the memory limit is the runtime's goal: the rest is stacks, kernel
+	headTime     = 10 * time.Second       // from a request's first byte to its last: slow networks need seconds
+	quietTime    = 2 * time.Minute        // an unused client connection is closed: clients keep theirs less long
+	clientStall  = 5 * time.Second        // a client that takes no byte of its answer so long has left
+	idleShare    = 0.7                    // of the time at which replicas close what is idle: ends that race
+	takeOn       = 500 * time.Millisecond // requests still come after a stop: the platform's 0.4 s and a little
+	acceptPause  = 100 * time.Millisecond // before accepting again with no descriptor left: some will be free
+	longWait     = time.Hour              // longest client timeout that is believed: bounds what is held
+	watchWait    = 20 * time.Second       // of one call for changes: few empty answers, and a dead way shows
+	watchSlack   = 2 * time.Second        // an answer later than that after the wait will not come
+	askPause     = 500 * time.Millisecond // first wait before a list that comes by itself is asked for again
+	askPauseMost = 8 * time.Second        // longest such wait: within the time of common rules
+	lingerTime   = time.Second            // for a client to read its last answer and close
+	silentDials  = 2                      // times the time to connect without a word: the connection is doubted
+	weightSlack  = 0.01                   // that weights may miss 1 by: rounding of a hundred parts
+	nameMost     = 128                    // bytes of a request's id: it stands in each of its frames
+)
+
+// Plan is what one co-ordinator is told at start.
+type Plan struct {
+	Name, Listen, Discovery string
+	Sockets, MemoryMB       int
+	Cores                   float64
+
+	seed  int64
+	facts map[string]string
+	known map[string]any
+}
+
+// Clock tells the time and wakes.
+type Clock interface {
+	Now() time.Time
+	After(time.Duration) <-chan time.Time
+}
+
+// SystemClock is the machine's.
+type SystemClock struct{}
+
+func (SystemClock) Now() time.Time                         { return time.Now() }
+func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// Means is what a co-ordinator works with.
+type Means struct {
+	Listener net.Listener
+	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	Clock    Clock
+	Log      *log.Logger
+}
+
+// Read takes the plan from the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY, where set,
+// hold over the file.
+func Read(env func(string) string) (*Plan, error) {
+	path := env("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	p, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG %s: %w", path, err)
+	}
+	for name, into := range map[string]*string{"GW_NAME": &p.Name, "GW_LISTEN": &p.Listen,
+		"GW_DISCOVERY": &p.Discovery} {
+		if v := env(name); v != "" {
+			*into = v
+		}
+		if *into == "" {
+			return nil, fmt.Errorf("%s is not set, nor is it in the file", name)
+		}
+	}
+	return p, nil
+}
+
+// Parse reads the file's text and looks at all that the module will need.
+func Parse(text []byte) (*Plan, error) {
+	all, err := object(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{Name: word(all["name"]), Listen: word(all["listen"]), Discovery: word(all["discovery"])}
+	seed, err := strconv.ParseUint(word(all["seed"]), 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed %q is not 16 hex digits", word(all["seed"]))
+	}
+	p.seed = int64(seed)
+	limits, _ := all["limits"].(map[string]any)
+	cores, ok1 := amount(limits["cores"])
+	memory, ok2 := amount(limits["memory_mb"])
+	sockets, ok3 := amount(limits["sockets"])
+	if !ok1 || !ok2 || !ok3 || cores <= 0 || memory < 1 || sockets < 16 {
+		return nil, errors.New("limits: cores, memory_mb and sockets (16 at least) are needed")
+	}
+	p.Cores, p.MemoryMB, p.Sockets = cores, int(memory), int(sockets)
+	settings, ok := all["settings"].(map[string]any)
+	if !ok {
+		return nil, errors.New("settings are missing")
+	}
+	p.facts = map[string]string{}
+	flatten(p.facts, "", settings)
+	if p.known, ok = all["known"].(map[string]any); !ok {
+		return nil, errors.New("known is missing")
+	}
+	return p, p.check()
+}
+
+func object(text []byte) (map[string]any, error) {
+	d := json.NewDecoder(strings.NewReader(string(text)))
+	d.UseNumber()
+	var v map[string]any
+	if err := d.Decode(&v); err != nil {
+		return nil, err
+	}
+	if v == nil || d.More() {
+		return nil, errors.New("not one JSON object")
+	}
+	return v, nil
+}
+
+func word(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+func amount(v any) (float64, bool) {
+	n, ok := v.(json.Number)
+	if !ok {
+		return 0, false
+	}
+	f, err := n.Float64()
+	return f, err == nil && !math.IsInf(f, 0)
+}
+
+// flatten names the settings as the simulator's wire does: paths, lists of plain values joined by commas,
+// lists of objects by number with their count.
+func flatten(facts map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, more := range v {
+			if path != "" {
+				name = path + "." + name
+			}
+			flatten(facts, name, more)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			switch item.(type) {
+			case map[string]any, []any:
+				flatten(facts, path+"."+strconv.Itoa(i), item)
+				facts[path+".count"] = strconv.Itoa(len(v))
+			default:
+				plain = append(plain, plainText(item))
+			}
+		}
+		if len(plain) == len(v) {
+			facts[path] = strings.Join(plain, ",")
+		}
+	default:
+		facts[path] = plainText(v)
+	}
+}
+
+func plainText(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return "-"
+	case string:
+		return strings.NewReplacer(" ", "_", ",", "_").Replace(v)
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func (p *Plan) number(name string) (float64, error) {
+	text, ok := p.facts[name]
+	if !ok {
+		return 0, fmt.Errorf("setting %s is missing", name)
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0, fmt.Errorf("setting %s: %q is no number", name, text)
+	}
+	return v, nil
+}
+
+// fact is a number that check has seen, or 0 where the setting is not there.
+func (p *Plan) fact(name string) float64 {
+	v, _ := p.number(name)
+	return v
+}
+
+func (p *Plan) span(name string) time.Duration {
+	return time.Duration(p.fact(name) * float64(time.Millisecond))
+}
+
+func (p *Plan) list(name string) []string {
+	if p.facts[name] == "" {
+		return nil
+	}
+	return strings.Split(p.facts[name], ",")
+}
+
+// check looks for what is needed, so that a faulty file ends the start and not a search.
+func (p *Plan) check() error {
+	if p.facts["Family"] != "fanout" {
+		return fmt.Errorf("setting Family: %q is not fanout", p.facts["Family"])
+	}
+	need := []string{"Balancers", "Tick", "Specifics.Sets", "Specifics.Reach", "Specifics.Ranges",
+		"Specifics.PerCall", "Permissions.MaxAttempts", "Permissions.MaxOpen", "Permissions.ConnIdle",
+		"Permissions.DialTimeout", "Permissions.StreamsPerConn", "Classes.count"}
+	for i := range p.count("Classes") {
+		need = append(need, fmt.Sprintf("Classes.%d.Aim", i), fmt.Sprintf("Classes.%d.LateShare", i))
+		if name := p.facts[fmt.Sprintf("Classes.%d.Name", i)]; name == "" {
+			return fmt.Errorf("setting Classes.%d.Name is missing", i)
+		}
+	}
+	for i := range p.count("Tenants") {
+		need = append(need, fmt.Sprintf("Tenants.%d.QuotaPerS", i))
+	}
+	for _, name := range need {
+		if v, err := p.number(name); err != nil {
+			return err
+		} else if v <= 0 && strings.HasPrefix(name, "Specifics.") {
+			return fmt.Errorf("setting %s has to be above 0", name)
+		}
+	}
+	for _, name := range []string{"NeedByClass", "ClassFloor", "FollowUp"} {
+		if n := len(p.list("Specifics." + name)); n != p.count("Classes") {
+			return fmt.Errorf("setting Specifics.%s has %d places for %d classes", name, n, p.count("Classes"))
+		}
+	}
+	return nil
+}
+
+func (p *Plan) count(list string) int { return int(p.fact(list + ".count")) }
+
+// names gives the place of each name in a list of objects.
+func (p *Plan) names(list string) map[string]int {
+	m := map[string]int{}
+	for i := range p.count(list) {
+		m[p.facts[fmt.Sprintf("%s.%d.Name", list, i)]] = i
+	}
+	return m
+}
+
+// Bound tells the runtime what this co-ordinator was given of its machine.
+func (p *Plan) Bound() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	debug.SetMemoryLimit(int64(memoryShare * float64(p.MemoryMB) * (1 << 20)))
+}
+
+// Serve works until ctx ends and all that was taken is answered; then it returns nil, and no goroutine of
+// it is left.
+func (p *Plan) Serve(ctx context.Context, m Means) (err error) {
+	g, work := errgroup.WithContext(context.WithoutCancel(ctx))
+	stopping, stop := context.WithCancel(work)
+	defer stop()
+	o := &owner{plan: p, Means: m, g: g, ctx: work, queue: make(chan func(), queueRoom),
+		start: m.Clock.Now(), searches: map[uint64]*search{}, parts: map[uint64]*part{},
+		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), clients: map[*link]bool{}}
+	o.base = o.start.UnixMicro() / 100
+	f := &front{o: o, classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
+	o.module = logic.New(o)
+	if err := o.begin(); err != nil {
+		m.Listener.Close()
+		return err
+	}
+	g.Go(o.run)
+	g.Go(f.accept)
+	g.Go(o.follow)
+	g.Go(func() error { return o.windUp(ctx, stop) })
+	m.Log.Printf("event=serving name=%s listen=%s discovery=%s sockets=%d memory_mb=%d cores=%g", p.Name,
+		m.Listener.Addr(), p.Discovery, p.Sockets, p.MemoryMB, p.Cores)
+	if err = g.Wait(); errors.Is(err, errDone) {
+		err = nil
+	}
+	m.Log.Printf("event=stopped name=%s error=%v", p.Name, err)
+	return err
+}
+
+var errDone = errors.New("all is answered")
--- /dev/null
+++ b/internal/http1/http1.go
@@ -0,0 +1,316 @@
+// Package http1 reads and writes HTTP/1.1 messages. It knows no sockets and decides nothing.
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+const (
+	headMost = 8 << 10  // bytes of a start line with its fields, and of trailers: what servers commonly take
+	bodyMost = 64 << 10 // bytes of a body: the protocol's limit
+)
+
+// Fault is a message that cannot be used; Status is what its sender is told.
+type Fault struct {
+	Status int
+	Text   string
+}
+
+func (f Fault) Error() string { return f.Text }
+
+func fault(status int, format string, v ...any) error {
+	return Fault{status, fmt.Sprintf(format, v...)}
+}
+
+// Reader takes messages off a stream, which may be split at any byte.
+type Reader struct {
+	src  io.Reader
+	buf  []byte // as lent to NewReader
+	r, w int    // what is read and not used
+	left int    // bytes that the present head may still have
+}
+
+// NewReader reads by way of buf, which no one else may use meanwhile; it has to hold a head.
+func NewReader(src io.Reader, buf []byte) *Reader { return &Reader{src: src, buf: buf} }
+
+// Await returns once the first byte of the next message is there.
+func (r *Reader) Await() error {
+	for r.r == r.w {
+		if err := r.fill(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reader) fill() error {
+	if r.r == r.w {
+		r.r, r.w = 0, 0
+	} else if r.w == len(r.buf) {
+		r.w, r.r = copy(r.buf, r.buf[r.r:r.w]), 0
+	}
+	n, err := r.src.Read(r.buf[r.w:])
+	if r.w += n; n > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+func inside(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// line takes one line of a head, its end cut off.
+func (r *Reader) line() (string, error) {
+	for seen := 0; ; {
+		if i := bytes.IndexByte(r.buf[r.r+seen:r.w], '\n'); i >= 0 {
+			text := r.buf[r.r : r.r+seen+i]
+			r.r += seen + i + 1
+			if r.left -= len(text) + 1; r.left < 0 {
+				return "", fault(431, "head over %d bytes", headMost)
+			}
+			return string(bytes.TrimSuffix(text, []byte("\r"))), nil
+		}
+		if seen = r.w - r.r; seen > r.left || seen == len(r.buf) {
+			return "", fault(431, "head over %d bytes", headMost)
+		}
+		if err := r.fill(); err != nil {
+			return "", inside(err)
+		}
+	}
+}
+
+// token tells whether text is a name as HTTP has them.
+func token(text string) bool {
+	for i := 0; i < len(text); i++ {
+		c := text[i]
+		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
+			strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0) {
+			return false
+		}
+	}
+	return text != ""
+}
+
+// fields takes header lines up to the empty one. Names are in small letters, repeats joined by commas.
+func (r *Reader) fields() (map[string]string, error) {
+	m := map[string]string{}
+	for {
+		text, err := r.line()
+		if err != nil {
+			return nil, err
+		}
+		if text == "" {
+			return m, nil
+		}
+		name, value, ok := strings.Cut(text, ":")
+		if !ok || !token(name) {
+			return nil, fault(400, "header line %.40q", text)
+		}
+		name, value = strings.ToLower(name), strings.Trim(value, " \t")
+		for i := 0; i < len(value); i++ {
+			if c := value[i]; c < ' ' && c != '\t' || c == 127 {
+				return nil, fault(400, "header %s holds a control character", name)
+			}
+		}
+		if old, twice := m[name]; twice {
+			value = old + "," + value
+		}
+		m[name] = value
+	}
+}
+
+// Request takes one request. Keep tells whether its sender keeps the connection.
+func (r *Reader) Request() (method, target string, head map[string]string, body []byte, keep bool, err error) {
+	r.left = headMost
+	start := ""
+	for start == "" { // empty lines before a request are to be passed over
+		if start, err = r.line(); err != nil {
+			return
+		}
+	}
+	part := strings.Split(start, " ")
+	if len(part) != 3 || !token(part[0]) || part[1] == "" || !strings.HasPrefix(part[2], "HTTP/") {
+		err = fault(400, "request line %.40q", start)
+		return
+	}
+	if part[2] != "HTTP/1.1" && part[2] != "HTTP/1.0" {
+		err = fault(505, "version %.20q", part[2])
+		return
+	}
+	method, target = part[0], part[1]
+	if head, err = r.fields(); err != nil {
+		return
+	}
+	if _, ok := head["host"]; !ok && part[2] == "HTTP/1.1" {
+		err = fault(400, "no Host")
+		return
+	}
+	keep = keeps(part[2], head)
+	_, long := head["content-length"]
+	_, coded := head["transfer-encoding"]
+	if long || coded {
+		body, err = r.body(head)
+	} else if method == "POST" {
+		err = fault(411, "a body has a length or comes in chunks")
+	}
+	return
+}
+
+// Response takes one response to a request other than HEAD.
+func (r *Reader) Response() (status int, head map[string]string, body []byte, keep bool, err error) {
+	r.left = headMost
+	start, err := r.line()
+	if err != nil {
+		return
+	}
+	version, rest, _ := strings.Cut(start, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if status, err = strconv.Atoi(code); err != nil || len(code) != 3 || !strings.HasPrefix(version, "HTTP/1.") {
+		return 0, nil, nil, false, fault(502, "status line %.40q", start)
+	}
+	if head, err = r.fields(); err != nil {
+		return
+	}
+	keep = keeps(version, head)
+	_, long := head["content-length"]
+	_, coded := head["transfer-encoding"]
+	switch {
+	case status < 200 || status == 204 || status == 304:
+	case long || coded:
+		body, err = r.body(head)
+	default:
+		keep = false
+		body, err = r.take(nil, -1)
+	}
+	return
+}
+
+func keeps(version string, head map[string]string) bool {
+	for _, word := range strings.Split(head["connection"], ",") {
+		switch strings.ToLower(strings.TrimSpace(word)) {
+		case "close":
+			return false
+		case "keep-alive":
+			return true
+		}
+	}
+	return version == "HTTP/1.1"
+}
+
+func (r *Reader) body(head map[string]string) ([]byte, error) {
+	length, long := head["content-length"]
+	coding, coded := head["transfer-encoding"]
+	if long && coded {
+		return nil, fault(400, "both a length and a transfer coding")
+	}
+	if coded {
+		if !strings.EqualFold(coding, "chunked") {
+			return nil, fault(501, "transfer coding %.20q", coding)
+		}
+		return r.chunks()
+	}
+	n, err := number(length, 10)
+	if err != nil {
+		return nil, err
+	}
+	return r.take(nil, n)
+}
+
+// number reads a length; signs and spaces, which strconv would take in part, are none.
+func number(text string, base int) (int, error) {
+	n, err := strconv.ParseUint(text, base, 62)
+	if err != nil || text[0] == '+' {
+		if e, ok := err.(*strconv.NumError); !ok || e.Err != strconv.ErrRange {
+			return 0, fault(400, "length %.20q", text)
+		}
+	}
+	if n > bodyMost {
+		return 0, fault(413, "body over %d bytes", bodyMost)
+	}
+	return int(n), nil
+}
+
+// take appends n bytes to body, or all up to the end where n is below 0. Room grows with what has come.
+func (r *Reader) take(body []byte, n int) ([]byte, error) {
+	for n != 0 {
+		if r.r == r.w {
+			if err := r.fill(); err == io.EOF && n < 0 {
+				return body, nil
+			} else if err != nil {
+				return nil, inside(err)
+			}
+		}
+		more := r.buf[r.r:r.w]
+		if n >= 0 {
+			more = more[:min(n, len(more))]
+			n -= len(more)
+		}
+		if r.r += len(more); len(body)+len(more) > bodyMost {
+			return nil, fault(413, "body over %d bytes", bodyMost)
+		}
+		body = append(body, more...)
+	}
+	return body, nil
+}
+
+func (r *Reader) chunks() (body []byte, err error) {
+	for {
+		r.left = headMost
+		text, err := r.line()
+		if err != nil {
+			return nil, err
+		}
+		size, _, _ := strings.Cut(text, ";")
+		n, err := number(strings.TrimRight(size, " \t"), 16)
+		if err != nil {
+			return nil, err
+		}
+		if n == 0 {
+			_, err = r.fields() // trailers say nothing here
+			return body, err
+		}
+		if body, err = r.take(body, n); err != nil {
+			return nil, err
+		}
+		if text, err = r.line(); err != nil || text != "" {
+			if err == nil {
+				err = fault(400, "a chunk longer than it says")
+			}
+			return nil, err
+		}
+	}
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
+	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+// AppendResponse adds a response with a JSON body and one more header line, if not empty.
+func AppendResponse(dst []byte, status int, extra string, body []byte, keep bool) []byte {
+	dst = fmt.Appendf(dst, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
+		status, reasons[status], len(body))
+	if extra != "" {
+		dst = append(append(dst, extra...), "\r\n"...)
+	}
+	if !keep {
+		dst = append(dst, "Connection: close\r\n"...)
+	}
+	return append(append(dst, "\r\n"...), body...)
+}
+
+// AppendGet adds a request for target.
+func AppendGet(dst []byte, target, host string) []byte {
+	return fmt.Appendf(dst, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, host)
+}
