--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -224,15 +224,9 @@
 	return o.lastID
 }
 
-// take hands a search to the module. As the settings' MaxOpen says, more than it can hold is turned away
-// before it reaches the module.
+// take hands a search to the module. What is held is bounded by the clients' connections: one search each.
 func (o *owner) take(s *search) {
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
-	if most := o.plan.fact("Permissions.MaxOpen"); float64(o.open+1+len(s.shards)) > most {
-		o.Log.Printf("event=full open=%d most=%g", o.open, most)
-		s.reply(result{kind: shed})
-		return
-	}
 	s.id, s.step = o.number(), 1
 	o.searches[s.id] = s
 	o.open++
