Tests of the sockets against stand-ins; parts that bear one name never share a connection

Seen in a test: of two searches with one X-Request-Id, whose parts left in one turn, one got the other's value. Send put both parts in one call, where one id stood twice; lines checked names, calls did not. Calls check now. Also: what was not begun to be written when a search ends is taken back, so that nothing is sent after its final answer where calling off is not allowed; a reader that waits for an answer ends with its connection; a fault of the module ends Serve with an error; known is read before listening.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -122,7 +122,7 @@
 
 // read takes requests one after another. While a search is on, it waits for the next request, and so sees
 // the client leave.
-func (c *client) read() error {
+func (c *client) read(ctx context.Context) error {
 	kick := context.AfterFunc(c.stopping, func() { c.conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer kick()
 	buf := lend()
@@ -152,7 +152,7 @@
 			select {
 			case <-c.answered:
 				c.waiting = false
-			case <-c.ctx.Done():
+			case <-ctx.Done():
 				return closing
 			}
 			if c.over.Load() {
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -61,8 +62,11 @@
 	return broken
 }
 
-// buffers are all of one size; what outgrew it is left to the collector.
-var buffers = sync.Pool{New: func() any { b := make([]byte, 0, bufferSize); return &b }}
+// buffers and readers are all of one size; what outgrew it is left to the collector.
+var (
+	buffers = sync.Pool{New: func() any { b := make([]byte, 0, bufferSize); return &b }}
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+)
 
 func lend() *[]byte { return buffers.Get().(*[]byte) }
 
@@ -112,13 +116,15 @@
 	}
 }
 
-// serve runs a connection to its end: read in one goroutine, the writer in another.
-func (l *link) serve(conn net.Conn, stall time.Duration, read func() error, wrote func(*parcel) error) ending {
+// serve runs a connection to its end: read in one goroutine, the writer in another. Deadlines of sockets
+// are told by the system's clock, whichever the owner has.
+func (l *link) serve(conn net.Conn, stall time.Duration, read func(context.Context) error,
+	wrote func(*parcel) error) ending {
 	g, ctx := errgroup.WithContext(l.ctx)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	defer conn.Close()
-	g.Go(read)
+	g.Go(func() error { return read(ctx) })
 	g.Go(func() error {
 		for {
 			select {
--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,484 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chalkring/internal/benchwire"
+	"chalkring/internal/frame"
+)
+
+func TestSearchesAreAnswered(t *testing.T) {
+	r := start(t, 256, nil)
+	c := r.call()
+	c.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, _, _, keep := c.answer()
+	require.Equal(t, 200, status)
+	require.True(t, keep)
+	c.want("q1", "all", 200, wholeOfAll)
+	c.want("q2", "all", 200, wholeOfAll) // the connection stays
+	for _, id := range []string{"a0", "a1", "b0", "b1"} {
+		parts, _, conns, _ := r.replicas[id].seen()
+		require.LessOrEqual(t, conns, 1, "connections are used again")
+		for _, p := range parts {
+			require.Equal(t, r.replicas[id].cell, p.shard%2)
+			require.Equal(t, "what", p.text)
+			require.Regexp(t, `^d=[1-9][0-9]{3}$`, p.list)
+		}
+	}
+	for i := range 30 { // a request split at any byte is one request
+		text := request(fmt.Sprint("s", i), "all", "", fourParts)
+		c.send(text[:i*9]).send(text[i*9:])
+		status, _, _, _ := c.answer()
+		require.Equal(t, 200, status)
+	}
+	c.send(request("last", "all", "Connection: close\r\n", fourParts))
+	_, _, _, keep = c.answer()
+	require.False(t, keep)
+	_, err := c.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+	r.end()
+}
+
+// A second step goes to the shards with the highest scores, the lower among equals, and names what was in.
+func TestSecondStep(t *testing.T) {
+	r := start(t, 256, nil)
+	scores := []string{"5", "18446744073709551616", "-3", "5"}
+	for _, s := range r.replicas {
+		s.set(func(a asked) {
+			if strings.HasSuffix(a.id, ".r") {
+				a.good()
+				return
+			}
+			a.reply("good", scores[a.shard], "first")
+		})
+	}
+	r.call().want("q", "deep", 200, `{"total":true,"answers":[{"range":1,"blob":"what@1!"},{"range":0,"blob":"what@0!"}]}`)
+	var second []string
+	for _, s := range r.replicas {
+		parts, _, _, _ := s.seen()
+		for _, p := range parts {
+			if strings.HasSuffix(p.id, ".r") {
+				_, rest, _ := strings.Cut(p.list, ",")
+				second = append(second, p.id+" "+rest)
+			}
+		}
+	}
+	slices.Sort(second)
+	require.Equal(t, []string{"q.0.r from=0+1+2+3,whole=1", "q.1.r from=0+1+2+3,whole=1"}, second)
+	r.end()
+}
+
+func TestWhatBadRequestsGet(t *testing.T) {
+	r := start(t, 1024, nil)
+	ok := request("id", "all", "", fourParts)
+	swap := func(old, new string) string {
+		require.Contains(t, ok, old)
+		return strings.Replace(ok, old, new, 1)
+	}
+	body := func(text string) string { return request("id", "all", "", text) }
+	ranges := func(text string) string { return body(`{"ranges":[` + text + `],"predicate":"p"}`) }
+	for text, status := range map[string]int{
+		"nonsense\r\n\r\n":                            400,
+		swap("POST ", "PO ST "):                       400,
+		swap("HTTP/1.1", "HTTP/2.0"):                  505,
+		swap("Host: x\r\n", ""):                       400,
+		swap("X-Class: all", "X Class: all"):          400,
+		swap("X-Class: all", "X-Class: none"):         400,
+		swap("X-Class: all", "X-Class: some"):         400,
+		swap("X-Tenant: acme", "X-Tenant: nobody"):    400,
+		swap("X-Tenant: acme\r\n", ""):                400,
+		swap("X-Request-Id: id", "X-Request-Id: a b"): 400,
+		swap("X-Request-Id: id\r\n", ""):              400,
+		swap("X-Deadline: 8.000\r\n", ""):             400,
+		swap("8.000", "soon"):                         400,
+		swap("8.000", "0"):                            400,
+		swap("8.000", "-1"):                           400,
+		swap("8.000", "NaN"):                          400,
+		swap("8.000", "1e3"):                          400,
+		swap("Content-Length: ", "Content-Length: x"): 400,
+		swap("Content-Length: ", "Content-Length: +"): 400,
+		swap("Content-Length: ", "Transfer-Encoding: chunked\r\nContent-Length: "): 400,
+		swap("Content-Length: ", "Content-Length: 9\r\nContent-Length: "):          400,
+		swap("Content-Length: ", "Content-Length: 99999999999999999999"):           413,
+		swap("Content-Length: ", "Content-Length: 99999"):                          413,
+		swap("Host: x", "Transfer-Encoding: gzip\r\nHost: x\r\nX"):                 400,
+		swap("Host: x", "Host: x\r\nX-Long: "+strings.Repeat("a", 9000)):           431,
+		"POST /all HTTP/1.1\r\nHost: x\r\n\r\n":                                    411,
+		"GET /all HTTP/1.1\r\nHost: x\r\n\r\n":                                     405,
+		"GET /other HTTP/1.1\r\nHost: x\r\n\r\n":                                   404,
+		"PUT /healthz HTTP/1.1\r\nHost: x\r\n\r\n":                                 405,
+		body(`{"ranges":`):    400,
+		body(`[]`):            400,
+		body(fourParts + "}"): 400,
+		body(`{"ranges":[{"range":0,"portion":1}]}`): 400,
+		ranges(``):                                                                           400,
+		ranges(`{"range":4,"portion":1}`):                                                    400,
+		ranges(`{"range":-1,"portion":1}`):                                                   400,
+		ranges(`{"range":0.5,"portion":1}`):                                                  400,
+		ranges(`{"range":0,"portion":0.5},{"range":0,"portion":1}`):                          400,
+		ranges(`{"range":0,"portion":-1},{"range":1,"portion":2}`):                           400,
+		ranges(`{"range":0,"portion":"1"}`):                                                  400,
+		ranges(`{"range":0,"portion":1e999}`):                                                400,
+		ranges(`{"range":0,"portion":0.2}`):                                                  400,
+		"POST /all HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":          400,
+		"POST /all HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n":    400,
+		"POST /all HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n":       413,
+		"POST /all HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n": 501,
+	} {
+		c := r.call().send(text)
+		got, _, _, keep := c.answer()
+		require.Equal(t, status, got, "%.200q", text)
+		require.False(t, keep, "%.200q", text)
+		c.Close()
+	}
+	for _, s := range r.replicas {
+		parts, _, _, _ := s.seen()
+		require.Empty(t, parts)
+	}
+	chunked := strings.Replace(ok, "Content-Length: "+fmt.Sprint(len(fourParts)), "Transfer-Encoding: chunked", 1)
+	chunked = strings.Replace(chunked, fourParts, fmt.Sprintf("a;x=y\r\n%s\r\n%x\r\n%s\r\n0\r\nT: 1\r\n\r\n", fourParts[:10],
+		len(fourParts)-10, fourParts[10:]), 1)
+	got, _, text, _ := r.call().send(chunked).answer()
+	require.Equal(t, 200, got)
+	require.JSONEq(t, wholeOfAll, text)
+	r.end()
+}
+
+// A client that leaves has withdrawn its search: replicas are told at once.
+func TestClientLeaves(t *testing.T) {
+	r := start(t, 256, nil)
+	var got atomic.Int32
+	for _, s := range r.replicas {
+		s.set(func(asked) { got.Add(1) })
+	}
+	c := r.call().send(request("q", "all", "", fourParts))
+	r.eventually("parts are out", func() bool { return got.Load() == 4 })
+	c.Close()
+	r.eventually("parts are given up", func() bool {
+		n := 0
+		for _, s := range r.replicas {
+			_, given, _, _ := s.seen()
+			n += len(given)
+		}
+		return n == 4
+	})
+	r.end()
+}
+
+// An answer that comes after its part was given up is dropped, and the connection stays in use.
+func TestLateAnswer(t *testing.T) {
+	r := start(t, 256, nil)
+	held := make(chan asked, 1)
+	for _, s := range r.replicas {
+		s.set(func(a asked) {
+			if a.shard == 3 && a.text == "what" && strings.HasPrefix(a.id, "q1") {
+				held <- a
+				return
+			}
+			a.good()
+		})
+	}
+	c := r.call()
+	c.want("q1", "some", 200, "")
+	a := <-held
+	a.good()
+	a.reply("good", "1", "unknown part")
+	c.want("q2", "all", 200, wholeOfAll)
+	for _, s := range r.replicas {
+		_, _, conns, _ := s.seen()
+		require.LessOrEqual(t, conns, 1)
+	}
+	require.NotContains(t, r.log.String(), "bad_frame")
+	r.end()
+}
+
+// Two searches that bear one name are two searches.
+func TestOneNameTwice(t *testing.T) {
+	r := start(t, 256, nil)
+	var held atomic.Int32
+	gate := make(chan struct{})
+	for _, s := range r.replicas {
+		s.set(func(a asked) {
+			if held.Add(1) == 8 {
+				close(gate)
+			}
+			go func() {
+				<-gate
+				a.good()
+			}()
+		})
+	}
+	c, d := r.call(), r.call()
+	c.send(request("same", "all", "", fourParts))
+	d.send(request("same", "all", "", strings.Replace(fourParts, "what", "else", 1)))
+	_, _, first, _ := c.answer()
+	_, _, second, _ := d.answer()
+	require.JSONEq(t, wholeOfAll, first)
+	require.JSONEq(t, strings.ReplaceAll(wholeOfAll, "what", "else"), second)
+	r.end()
+}
+
+// Whatever a replica does to a connection, the part goes on elsewhere and a bad frame is no answer.
+func TestWhatBadReplicasGet(t *testing.T) {
+	raw := func(text string) func(a asked) { return func(a asked) { a.conn.Write([]byte(text)) } }
+	framed := func(letter byte, text string) func(a asked) {
+		return func(a asked) { a.conn.Write(frame.End(append(frame.Begin(nil, letter), text...), 0)) }
+	}
+	for _, x := range []struct {
+		name string
+		do   func(a asked)
+		log  string
+	}{
+		{"reset", func(a asked) { a.conn.(*net.TCPConn).SetLinger(0); a.conn.Close() }, "end=broken"},
+		{"close", func(a asked) { a.conn.Close() }, "end="},
+		{"no length", raw("\x00\x00\x00\x00"), "end=garbled"},
+		{"too long", raw("\x7f\x00\x00\x00q"), "end=garbled"},
+		{"cut off", func(a asked) { a.conn.Write([]byte("\x00\x00\x00\x10qabc")); a.conn.Close() }, "end=broken"},
+		{"unknown letter", framed('z', "x"), "end=garbled"},
+		{"no line", framed('q', "x"), "end=garbled"},
+		{"unknown end", func(a asked) { a.reply("fine", "1", "x") }, "end=garbled"},
+		{"no score", func(a asked) { a.reply("good", "-", "x") }, "end=garbled"},
+		{"bad score", func(a asked) { a.reply("good", "1.5", "x") }, "end=garbled"},
+		{"long score", func(a asked) { a.reply("good", strings.Repeat("9", 41), "x") }, "end=garbled"},
+		{"refused", framed('r', "what is that"), `event=frame_refused replica=a0 words="what is that"`},
+		{"bad", func(a asked) { a.reply("bad", "-", "") }, ""},
+		{"later", func(a asked) { a.reply("later", "-", "") }, ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, 256, nil)
+			c := r.call()
+			r.replicas["a0"].set(x.do)
+			for i := range 20 { // until one of them met a0
+				c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+				if parts, _, _, _ := r.replicas["a0"].seen(); len(parts) > 0 {
+					break
+				}
+			}
+			r.logged(x.log)
+			r.end()
+		})
+	}
+}
+
+// A replica that refuses connections, and one that never was where the list says, cost no search.
+func TestReplicaDown(t *testing.T) {
+	r := start(t, 256, nil)
+	r.replicas["a0"].ln.Close()
+	c := r.call()
+	for i := range 20 {
+		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+	}
+	r.logged("event=replica_connection_ended replica=a0")
+	require.Contains(t, r.log.String(), "end=not_up")
+	r.end()
+}
+
+func TestOutcomesOfEndings(t *testing.T) {
+	for e := notUp; e <= closing; e++ {
+		require.Equal(t, "ConnectError", e.outcome(false), e.Error())
+		want := "ResetByPeer"
+		if e == notUp {
+			want = "ConnectError"
+		}
+		require.Equal(t, want, e.outcome(true), e.Error())
+		require.NotEmpty(t, e.Error())
+	}
+	require.Equal(t, peerLeft, endingOf(io.EOF))
+	require.Equal(t, broken, endingOf(io.ErrUnexpectedEOF))
+}
+
+// The list: draining and removed replicas get nothing new, what cannot be used changes nothing and is asked
+// for again.
+func TestListChanges(t *testing.T) {
+	r := start(t, 256, nil)
+	require.Equal(t, "/v1/servers?index=7&wait=20000", <-r.list.calls)
+	said := func(version int, full bool, entries ...string) {
+		r.list.answers <- fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+	}
+	said(8, false, r.entry("a0", "draining"), r.entry("b1", "removed"))
+	require.Equal(t, "/v1/servers?index=8&wait=20000", <-r.list.calls)
+	r.logged("how=Partial version=8")
+	c := r.call()
+	for i := range 10 {
+		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+	}
+	for _, id := range []string{"a0", "b1"} {
+		parts, _, _, _ := r.replicas[id].seen()
+		require.Empty(t, parts)
+	}
+	_, _, _, open := r.replicas["a1"].seen()
+	require.Equal(t, 1, open)
+	for _, id := range []string{"a1", "b0"} { // parts of one turn to one replica share a call
+		require.Equal(t, slices.Repeat([]int{2}, 10), r.replicas[id].calls())
+	}
+	for _, bad := range []string{`{"version":9,"full":false,"servers":[{"id":"a1","addr":"","state":"up","cell":0}]}`,
+		`{"version":9,"full":false,"servers":[{"id":"a1","addr":"127.0.0.1:1","state":"odd","cell":0}]}`,
+		`{"version":9`, `{"version":6,"full":true,"servers":[]}`, `{"version":8,"full":false,"servers":[]}`,
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 nonsense\r\n\r\n", ""} {
+		r.list.answers <- bad
+		require.Equal(t, "/v1/servers?index=8&wait=20000", <-r.list.calls, bad)
+	}
+	c.want("still", "all", 200, wholeOfAll)
+	require.Equal(t, 8, strings.Count(r.log.String(), "event=list_failed"))
+	said(12, true, r.entry("a0", "up"), r.entry("b0", "up")) // whole: a1 is gone, and its connection goes
+	r.eventually("a1 is left", func() bool { _, _, _, open := r.replicas["a1"].seen(); return open == 0 })
+	c.want("after", "all", 200, wholeOfAll)
+	parts, _, _, _ := r.replicas["a0"].seen()
+	require.Len(t, parts, 2)
+	r.end()
+	require.NotContains(t, r.log.String(), "event=fault")
+}
+
+// Where the list comes by itself, calls are made without the module asking, and go on after failures.
+func TestListByItself(t *testing.T) {
+	r := start(t, 256, func(s map[string]any) { s["Discovery"] = "automatic" })
+	<-r.list.calls
+	r.list.answers <- ""
+	<-r.list.calls
+	r.list.answers <- fmt.Sprintf(`{"version":9,"full":false,"servers":[%s]}`, r.entry("a0", "draining"))
+	r.logged("how=Partial version=9")
+	r.end()
+}
+
+// At a stop what is held is finished, and requests that still come are taken; then nothing is left.
+func TestStop(t *testing.T) {
+	before := runtime.NumGoroutine()
+	r := start(t, 256, nil)
+	release := make(chan struct{})
+	var got atomic.Int32
+	for _, s := range r.replicas {
+		s.set(func(a asked) {
+			got.Add(1)
+			go func() { <-release; a.good() }()
+		})
+	}
+	idle, early, late := r.call(), r.call(), r.call()
+	idle.want("first", "none", 400, "")
+	idle = r.call()
+	early.send(request("early", "all", "", fourParts))
+	r.eventually("parts are out", func() bool { return got.Load() == 4 })
+	r.stop()
+	r.logged("event=stopping")
+	late.send(request("late", "all", "", fourParts))
+	r.eventually("the late one is taken", func() bool { return got.Load() == 8 })
+	_, err := idle.Read(make([]byte, 1)) // comes to an end once no more is awaited
+	require.Equal(t, io.EOF, err)
+	close(release)
+	for _, c := range []*caller{early, late} {
+		status, _, text, keep := c.answer()
+		require.Equal(t, 200, status)
+		require.JSONEq(t, wholeOfAll, text)
+		require.False(t, keep)
+	}
+	r.end()
+	for _, s := range r.replicas {
+		s.ln.Close()
+	}
+	r.list.ln.Close()
+	close(r.list.answers)
+	r.eventually("goroutines end", func() bool { return runtime.NumGoroutine() <= before+1 })
+}
+
+// With its share of the descriptors in use, further clients wait for room.
+func TestDescriptors(t *testing.T) {
+	r := start(t, 16, nil)
+	var held []*caller
+	for range 8 {
+		c := r.call()
+		c.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		c.answer()
+		held = append(held, c)
+	}
+	r.logged("event=no_descriptor side=clients open=8")
+	c := r.call().send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	held[0].Close()
+	status, _, _, _ := c.answer()
+	require.Equal(t, 200, status)
+	for _, c := range held[1:] {
+		c.Close()
+	}
+	c.want("q", "all", 200, wholeOfAll)
+	r.end()
+}
+
+// A socket that takes no bytes holds up its own connection alone, and what was not begun has not run.
+func TestStuckSocket(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	l := newLink(context.Background(), 2)
+	parcels := make([]*parcel, 4)
+	for i := range parcels {
+		b := lend()
+		*b = append(*b, "text"...)
+		parcels[i] = &parcel{b: b}
+	}
+	l.put(parcels[0])
+	l.put(parcels[1])
+	require.True(t, parcels[1].recall())
+	end := l.serve(here, 20*time.Millisecond, func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() },
+		func(*parcel) error { return nil })
+	require.Equal(t, stuck, end)
+	require.Equal(t, begun, parcels[0].stage.Load())
+	require.False(t, parcels[0].recall())
+	require.Equal(t, called, parcels[1].stage.Load())
+	l = newLink(context.Background(), 2)
+	for _, p := range parcels[1:] {
+		l.put(p)
+	}
+	require.Equal(t, crowded, context.Cause(l.ctx))
+}
+
+// The module hears the same names and texts from the plan as from the simulator's wire.
+func TestSettingsAsOnTheWire(t *testing.T) {
+	p, err := Parse([]byte(`{"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":64,"sockets":99},
+		"known":{"version":0,"servers":[]},"settings":` + strings.Replace(testSettings, `"Family"`, `"Names":[],"Void":null,"Family"`, 1) + `}`))
+	require.NoError(t, err)
+	wire := `Family=fanout Discovery=subscribe Balancers=1 Tick=5.0 FailureDomains=z_one MachineTypes=small
+		Clients.MarksRetry=true Names= Void=- Classes.count=3 Tenants.count=2 Tenants.0.Name=acme Tenants.0.QuotaPerS=1000.0
+		Tenants.1.Name=other Tenants.1.QuotaPerS=1000.0 Specifics.Sets=2 Specifics.Reach=1 Specifics.Ranges=4
+		Specifics.PerCall=2 Specifics.NeedByClass=0.5,1.0,1.0 Specifics.ClassFloor=0.5,1.0,1.0
+		Specifics.FollowUp=0,0,2 Permissions.MaxAttempts=3 Permissions.ConnIdle=60000.0
+		Permissions.DialTimeout=2000.0 Permissions.StreamsPerConn=8 Permissions.SecondCopies=true
+		Permissions.Cancelling=true Permissions.RetryAfter=true Permissions.MaxRetryAfter=500.0 Safety.Cold=1000.0
+		Safety.ColdFrom=0.3 Safety.FallMultiple=3.0 Safety.Fall=2000.0 Safety.DrainGrace=250.0 Safety.AskWithin=500.0`
+	for i, name := range []string{"some", "all", "deep"} {
+		wire += strings.ReplaceAll(fmt.Sprintf(" C.Name=%s C.Aim=4000.0 C.Deadline=8000.0 C.Effect=retryable C.LateShare=0.5",
+			name), "C.", fmt.Sprintf("Classes.%d.", i))
+	}
+	require.Equal(t, benchwire.Facts(strings.Fields(wire)), p.facts)
+	require.Equal(t, int64(-0x73e0cf2d85a4169c), p.seed)
+}
+
+func TestFaultyPlans(t *testing.T) {
+	plan := `{"name":"n","listen":"l","discovery":"d","seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":99},
+		"known":{"version":1,"servers":[]},"settings":` + testSettings + `}`
+	_, err := Parse([]byte(plan))
+	require.NoError(t, err)
+	for _, x := range [][3]string{{`{"name"`, `{"name`, "invalid"}, {`"seed":"1f"`, `"seed":"xx"`, "seed"},
+		{`"sockets":99`, `"sockets":"x"`, "sockets"}, {`"settings"`, `"other"`, "settings"}, {`"known"`, `"other"`, "known"},
+		{`"servers":[]`, `"servers":[{"id":"a"}]`, "known: entry"},
+		{`"Family":"fanout"`, `"Family":"x"`, "Family"}, {`"Tick":5.0`, `"Tick":"x"`, "Tick"},
+		{`"Sets":2`, `"Sets":0`, "Specifics.Sets"}, {`"Aim":4000.0,`, ``, "Classes.0.Aim"},
+		{`"FollowUp":[0,0,2]`, `"FollowUp":[0]`, "FollowUp"}, {`"DialTimeout":2000.0,`, ``, "DialTimeout"}} {
+		require.Contains(t, plan, x[0])
+		_, err := Parse([]byte(strings.Replace(plan, x[0], x[1], 1)))
+		require.ErrorContains(t, err, x[2])
+	}
+	none := func(string) string { return "" }
+	_, err = Read(none)
+	require.ErrorContains(t, err, "GW_CONFIG")
+	_, err = Read(func(name string) string { return map[string]string{"GW_CONFIG": "/nowhere"}[name] })
+	require.ErrorContains(t, err, "/nowhere")
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/big"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -39,7 +40,7 @@
 	fleet    map[string]*replica
 	order    []*replica // with calls to go out at the end of the turn
 	lines    int        // connections to replicas
-	open     int        // searches and parts held
+	saidAt   int64      // that no descriptor was left
 	listed   bool
 	clients  map[*link]bool
 	ending   bool // no new client connections come
@@ -149,15 +150,21 @@
 	o.module.Clock(o.now)
 	o.module.Start(o.plan.seed, o.plan.facts)
 	tell, err := o.readList(o.plan.known)
-	if err != nil {
-		return fmt.Errorf("known: %w", err)
+	if err == nil {
+		tell("Persisted")
 	}
-	tell("Persisted")
 	o.module.EndOfBatch()
-	return nil
+	return err
 }
 
-func (o *owner) run() error {
+// run takes turns until all is answered after a stop. A fault of the module ends it with an error.
+func (o *owner) run() (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			o.Log.Printf("event=fault error=%q stack=%q", fmt.Sprint(r), debug.Stack())
+			err = fmt.Errorf("fault in a turn: %v", r)
+		}
+	}()
 	for {
 		var wake <-chan time.Time
 		switch {
@@ -229,7 +236,6 @@
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
 	s.id, s.step = o.number(), 1
 	o.searches[s.id] = s
-	o.open++
 	o.module.Search(s.id, s.qtype, s.tenant, s.key, s.due-o.now, s.id, len(s.shards), s.retry)
 	o.addParts(s, s.shards, s.weights)
 }
@@ -240,7 +246,6 @@
 		p := &part{id: o.number(), s: s, step: s.step, shard: shard}
 		s.parts = append(s.parts, p)
 		o.parts[p.id] = p
-		o.open++
 	}
 	for i, p := range s.parts[from:] {
 		o.module.Part(p.id, s.id, p.shard, weights[i])
@@ -259,9 +264,10 @@
 func (o *owner) finish(s *search) {
 	s.over = true
 	delete(o.searches, s.id)
-	o.open--
 	for _, p := range s.parts {
-		o.open--
+		for _, sub := range p.subs {
+			o.unsend(sub)
+		}
 		o.drop(p)
 	}
 }
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"chalkring/internal/frame"
 )
@@ -84,7 +85,8 @@
 		return
 	}
 	var c *call
-	if n := len(r.calls); n > 0 && float64(len(r.calls[n-1].subs)) < o.plan.fact("Specifics.PerCall") {
+	if n := len(r.calls); n > 0 && float64(len(r.calls[n-1].subs)) < o.plan.fact("Specifics.PerCall") &&
+		find(r.calls[n-1].subs, sub.name) == nil {
 		c = r.calls[n-1]
 	} else {
 		if c = (&call{}); n == 0 {
@@ -129,6 +131,17 @@
 	o.later(func() { o.landed(sub, outcome, nil) })
 }
 
+// unsend takes back what was not begun for a search that is over: nothing is sent after its final answer.
+func (o *owner) unsend(sub *subRequest) {
+	if c := sub.call; c != nil && (c.line == nil || c.parcel.recall()) {
+		o.leave(sub)
+		if c.line != nil {
+			o.load(c.line, c)
+		}
+		o.later(func() { o.landed(sub, "Ignored", nil) })
+	}
+}
+
 // leave takes a sub-request off its call and connection.
 func (o *owner) leave(sub *subRequest) {
 	c := sub.call
@@ -210,19 +223,23 @@
 		}
 	}
 	if float64(o.lines) >= replicaShare*float64(o.plan.Sockets) {
-		o.Log.Printf("event=no_descriptor side=replicas open=%d", o.lines)
+		if o.now >= o.saidAt+int64(time.Second/tenth) {
+			o.saidAt = o.now
+			o.Log.Printf("event=no_descriptor side=replicas open=%d", o.lines)
+		}
 		return nil
 	}
 	return o.dial(r)
 }
 
-// has tells whether one of a call's ids is out on the connection already: two searches may bear one name.
+// has tells whether one of a call's ids is out on the connection already. Guards against two searches that
+// bear one name: the answer to one would be taken for the other's.
 func (l *line) has(c *call) bool {
-	return slices.ContainsFunc(c.subs, func(sub *subRequest) bool { return l.find(sub.name) != nil })
+	return slices.ContainsFunc(c.subs, func(sub *subRequest) bool { return find(l.subs, sub.name) != nil })
 }
 
-func (l *line) find(name string) *subRequest {
-	for _, sub := range l.subs {
+func find(subs []*subRequest, name string) *subRequest {
+	for _, sub := range subs {
 		if sub.name == name {
 			return sub
 		}
@@ -242,7 +259,7 @@
 		conn, err := o.Dial(ctx, "tcp", addr)
 		stop()
 		if err == nil {
-			end = l.serve(conn, wait, func() error { return o.hear(l, conn) },
+			end = l.serve(conn, wait, func(context.Context) error { return o.hear(l, conn) },
 				func(*parcel) error { return nil })
 		}
 		o.post(func() { o.ended(l, end, addr) })
@@ -254,7 +271,9 @@
 
 // hear reads a replica's frames to the end of the connection.
 func (o *owner) hear(l *line, conn net.Conn) error {
-	src := bufio.NewReaderSize(conn, bufferSize)
+	src := readers.Get().(*bufio.Reader)
+	src.Reset(conn)
+	defer readers.Put(src)
 	for {
 		letter, rest, err := frame.Read(src)
 		switch {
@@ -290,7 +309,7 @@
 // answer takes a replica's answer; one to a part that is no longer out is dropped.
 func (o *owner) answer(l *line, id, outcome string, score *big.Int, report map[string]float64, value []byte) {
 	l.heard = o.now
-	sub := l.find(id)
+	sub := find(l.subs, id)
 	if sub == nil {
 		return
 	}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"math"
 	"net"
@@ -135,6 +136,9 @@
 	if p.known, ok = all["known"].(map[string]any); !ok {
 		return nil, errors.New("known is missing")
 	}
+	if _, err := (&owner{plan: p}).readList(p.known); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
 	return p, p.check()
 }
 
@@ -145,7 +149,7 @@
 	if err := d.Decode(&v); err != nil {
 		return nil, err
 	}
-	if v == nil || d.More() {
+	if _, err := d.Token(); v == nil || err != io.EOF {
 		return nil, errors.New("not one JSON object")
 	}
 	return v, nil
@@ -241,7 +245,7 @@
 		return fmt.Errorf("setting Family: %q is not fanout", p.facts["Family"])
 	}
 	need := []string{"Balancers", "Tick", "Specifics.Sets", "Specifics.Reach", "Specifics.Ranges",
-		"Specifics.PerCall", "Permissions.MaxAttempts", "Permissions.MaxOpen", "Permissions.ConnIdle",
+		"Specifics.PerCall", "Permissions.MaxAttempts", "Permissions.ConnIdle",
 		"Permissions.DialTimeout", "Permissions.StreamsPerConn", "Classes.count"}
 	for i := range p.count("Classes") {
 		need = append(need, fmt.Sprintf("Classes.%d.Aim", i), fmt.Sprintf("Classes.%d.LateShare", i))
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -222,21 +222,27 @@
 	l.sets[int(f.whole(0))] = list
 }
 
-func (l *link) start(text string) {
-	f := strings.Split(text, " ")
-	if len(f) < 3 {
-		panic(fault{"start has too few values"})
-	}
-	v := fields(f[1:])
-	no, seed := int(v.whole(0)), v.whole(1)
+// Facts are the settings as the module hears them, from the wire's pairs.
+func Facts(pairs []string) map[string]string {
 	settings := map[string]string{}
-	for _, pair := range f[3:] {
+	for _, pair := range pairs {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok {
 			panic(fault{fmt.Sprintf("setting %q has no value", pair)})
 		}
 		settings[name] = value
 	}
+	return settings
+}
+
+func (l *link) start(text string) {
+	f := strings.Split(text, " ")
+	if len(f) < 3 {
+		panic(fault{"start has too few values"})
+	}
+	v := fields(f[1:])
+	no, seed := int(v.whole(0)), v.whole(1)
+	settings := Facts(f[3:])
 	if old := l.instances[no]; old != nil {
 		old.gone = true
 	}
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,78 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Whatever comes, reading ends with a message inside the limits or an error, and the same however the
+// stream is split.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("\r\nPOST /a?k=1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nT: 1\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\nHost:x\nContent-Length: 18446744073709551616\n\n"))
+	f.Add([]byte("GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 2000)))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		one := NewReader(bytes.NewReader(text), make([]byte, 16<<10))
+		two := NewReader(iotest.OneByteReader(bytes.NewReader(text)), make([]byte, 16<<10))
+		for {
+			method, target, head, body, keep, err := one.Request()
+			method2, target2, head2, body2, keep2, err2 := two.Request()
+			require.Equal(t, err, err2)
+			if err != nil {
+				var bad Fault
+				require.True(t, errors.As(err, &bad) || errors.Is(err, io.ErrUnexpectedEOF), err)
+				return
+			}
+			require.LessOrEqual(t, len(body), bodyMost)
+			require.Equal(t, []any{method, target, head, body, keep}, []any{method2, target2, head2, body2, keep2})
+		}
+	})
+}
+
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 204 No\r\n\r\n"))
+	f.Add([]byte("HTTP/1.0 200\r\n\r\nto the end"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bytes.NewReader(text), make([]byte, 16<<10))
+		for {
+			_, _, body, _, err := r.Response()
+			if err != nil {
+				return
+			}
+			require.LessOrEqual(t, len(body), bodyMost)
+			if r.r == r.w {
+				return
+			}
+		}
+	})
+}
+
+func TestResponses(t *testing.T) {
+	text := AppendResponse(nil, 503, "Retry-After: 0.0500", []byte("{}"), false)
+	r := NewReader(iotest.OneByteReader(bytes.NewReader(text)), make([]byte, 16<<10))
+	status, head, body, keep, err := r.Response()
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Equal(t, "0.0500", head["retry-after"])
+	require.Equal(t, "{}", string(body))
+	require.False(t, keep)
+	for text, want := range map[string]string{
+		"HTTP/1.0 200 OK\r\n\r\nto the end":                                                   "to the end",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n": "abc",
+	} {
+		_, _, body, _, err := NewReader(strings.NewReader(text), make([]byte, 16<<10)).Response()
+		require.NoError(t, err)
+		require.Equal(t, want, string(body))
+	}
+	_, _, _, _, err = NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("a", bodyMost+1)),
+		make([]byte, 16<<10)).Response()
+	require.ErrorContains(t, err, "body over")
+}
