Parts of an ended connection are all taken off before the module hears of the first

A search had lost two connections, the module gave it up on hearing of the first part and called off the others, which were on the same connection and still in ended's hands. Now all are taken off the connection first. A test holds it; without the change it shows the same fault. Tests for connections that are silent or unused and for clients that never finish.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -123,8 +123,8 @@
 // read takes requests one after another. While a search is on, it waits for the next request, and so sees
 // the client leave.
 func (c *client) read(ctx context.Context) error {
-	kick := context.AfterFunc(c.stopping, func() { c.conn.SetReadDeadline(time.Unix(1, 0)) })
-	defer kick()
+	unhook := context.AfterFunc(c.stopping, c.kick)
+	defer unhook()
 	buf := lend()
 	defer giveBack(buf)
 	rd := http1.NewReader(c, (*buf)[:bufferSize])
@@ -134,10 +134,7 @@
 		if !c.awaits() {
 			limit = time.Now().Add(quietTime)
 		}
-		c.conn.SetReadDeadline(limit)
-		if c.stopping.Err() != nil { // the kick may have come before
-			c.conn.SetReadDeadline(time.Unix(1, 0))
-		}
+		c.rest(limit)
 		if err := rd.Await(); err != nil {
 			return endingOf(err)
 		}
@@ -180,6 +177,16 @@
 	}
 }
 
+// rest lets the connection be unused up to a time. Guards against a stop whose kick came just before.
+func (c *client) rest(limit time.Time) {
+	c.conn.SetReadDeadline(limit)
+	if c.stopping.Err() != nil {
+		c.kick()
+	}
+}
+
+func (c *client) kick() { c.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // wrote is told of each answer that is out whole.
 func (c *client) wrote(p *parcel) error {
 	if p.last || c.stopping.Err() != nil {
@@ -190,7 +197,7 @@
 		}
 		c.conn.SetReadDeadline(time.Now().Add(lingerTime))
 	} else {
-		c.conn.SetReadDeadline(time.Now().Add(quietTime))
+		c.rest(time.Now().Add(quietTime))
 	}
 	select {
 	case c.answered <- struct{}{}:
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -272,6 +272,79 @@
 	}
 }
 
+// A search that fells replicas is given up while more of its parts are out on the connection that ended.
+func TestSearchThatFells(t *testing.T) {
+	r := start(t, 256, nil)
+	r.list.answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s,%s]}`, r.entry("a1", "draining"),
+		r.entry("b1", "draining"))
+	r.logged("how=Partial")
+	reset := func(a asked) {
+		a.conn.(*net.TCPConn).SetLinger(0)
+		a.conn.Close()
+	}
+	r.replicas["b0"].set(reset)
+	r.replicas["a0"].set(func(a asked) {
+		if a.shard == 2 {
+			r.logged("replica=b0")
+			reset(a)
+		}
+	})
+	c := r.call()
+	c.send(request("q", "all", "", `{"ranges":[{"range":0,"portion":0.4},{"range":1,"portion":0.2},
+		{"range":2,"portion":0.4}],"predicate":"poison"}`))
+	status, _, _, _ := c.answer()
+	require.Equal(t, 503, status)
+	r.replicas["a0"].set(asked.good)
+	r.replicas["b0"].set(asked.good)
+	c.want("next", "all", 200, wholeOfAll)
+	r.end()
+}
+
+// A connection on which a part was given up after long silence takes nothing new and is closed; an unused one
+// is closed before its replica would.
+func TestSilentAndIdle(t *testing.T) {
+	r := start(t, 256, func(s map[string]any) {
+		s["Permissions"].(map[string]any)["DialTimeout"] = 100
+		s["Permissions"].(map[string]any)["ConnIdle"] = 100
+	})
+	r.replicas["a0"].set(func(asked) {})
+	c := r.call()
+	for i := range 20 {
+		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+		if parts, _, _, _ := r.replicas["a0"].seen(); len(parts) > 0 {
+			break
+		}
+	}
+	for _, s := range r.replicas {
+		r.eventually("closed", func() bool {
+			_, _, conns, open := s.seen()
+			return conns > 0 && open == 0
+		})
+	}
+	c.want("again", "some", 200, "")
+	r.end()
+}
+
+// A client that never finishes its request is closed after a bounded time, one that is waked early reads on.
+func TestSlowClient(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	f := &front{stopping: context.Background()}
+	c := &client{front: f, conn: here, answered: make(chan struct{}, 1), until: time.Now().Add(patience)}
+	c.kick()
+	go there.Write([]byte("x"))
+	n, err := c.Read(make([]byte, 1))
+	require.Equal(t, 1, n)
+	require.NoError(t, err)
+	c.until = time.Unix(1, 0)
+	c.kick()
+	_, err = c.Read(make([]byte, 1))
+	require.Equal(t, slow, endingOf(err))
+	c.until = time.Time{}
+	_, err = c.Read(make([]byte, 1))
+	require.Equal(t, unused, endingOf(err))
+}
+
 // A replica that refuses connections, and one that never was where the list says, cost no search.
 func TestReplicaDown(t *testing.T) {
 	r := start(t, 256, nil)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -40,6 +40,7 @@
 	fleet    map[string]*replica
 	order    []*replica // with calls to go out at the end of the turn
 	lines    int        // connections to replicas
+	sentAt   int64      // the last turn with calls
 	saidAt   int64      // that no descriptor was left
 	listed   bool
 	clients  map[*link]bool
@@ -196,6 +197,9 @@
 // turn is one turn of the module: all that is queued by now, the wakes that are due, EndOfBatch.
 func (o *owner) turn(first func()) {
 	o.now = max(o.now, o.clock())
+	if o.now == o.sentAt { // what two turns send is two calls: the module tells them apart by time
+		o.now++
+	}
 	o.module.Clock(o.now)
 	before := o.next
 	o.next = nil
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -167,6 +167,9 @@
 
 // sendCalls puts the turn's calls on connections.
 func (o *owner) sendCalls() {
+	if len(o.order) > 0 {
+		o.sentAt = o.now
+	}
 	for _, r := range o.order {
 		for _, c := range r.calls {
 			if len(c.subs) == 0 {
@@ -330,10 +333,16 @@
 		o.Log.Printf("event=replica_connection_ended replica=%s addr=%s end=%s parts=%d", l.r.id, addr, end,
 			len(l.subs))
 	}
+	// All are taken off before the first is told. Guards against what the module does on hearing of one: it may
+	// call off others that were on this connection, whose end has come too.
+	var tell []func()
 	for _, sub := range slices.Clone(l.subs) {
 		outcome := end.outcome(sub.call.parcel.stage.Load() == written)
 		o.leave(sub)
-		o.landed(sub, outcome, nil)
+		tell = append(tell, func() { o.landed(sub, outcome, nil) })
+	}
+	for _, do := range tell {
+		do()
 	}
 	o.forget(l.r)
 }
