--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -39,7 +39,6 @@
 	subs   []*subRequest
 	line   *line
 	parcel *parcel
-	live   int
 }
 
 // subRequest is one sub-request that is out.
@@ -96,7 +95,6 @@
 	}
 	sub.call = c
 	c.subs = append(c.subs, sub)
-	c.live++
 	o.after(timeout, func() { o.giveUp(sub, "TimedOut") })
 }
 
@@ -147,11 +145,10 @@
 	c := sub.call
 	sub.call = nil
 	c.subs = slices.DeleteFunc(c.subs, func(x *subRequest) bool { return x == sub })
-	c.live--
 	if l := c.line; l != nil {
 		l.subs = slices.DeleteFunc(l.subs, func(x *subRequest) bool { return x == sub })
 		l.usedAt = o.now
-		if c.live == 0 {
+		if len(c.subs) == 0 {
 			l.calls--
 			o.mayClose(l)
 		}
