A connection's context ends with it; an unused connection no longer holds its last search

Seen on reading through: newLink makes a context below the co-ordinator's, and only replicas' connections ended it; each client connection would have stayed in its parent's list for good (coordinator/connections.go). serve ends it now; the test of the stuck socket holds it. A client's connection kept its last search with all its parts while unused; they are let go at the final answer.

--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -151,5 +151,7 @@
 	if cause := context.Cause(l.ctx); cause != nil {
 		err = cause // this side ended it: reads and writes failed for that
 	}
-	return endingOf(err)
+	end := endingOf(err)
+	l.end(end) // a context that is not ended stays with its parent for good
+	return end
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -503,6 +503,7 @@
 	end := l.serve(here, 20*time.Millisecond, func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() },
 		func(*parcel) error { return nil })
 	require.Equal(t, stuck, end)
+	require.Equal(t, stuck, context.Cause(l.ctx), "its context would stay with the parent's")
 	require.Equal(t, begun, parcels[0].stage.Load())
 	require.False(t, parcels[0].recall())
 	require.Equal(t, called, parcels[1].stage.Load())
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -274,6 +274,7 @@
 		}
 		o.drop(p)
 	}
+	s.parts, s.text, s.shards, s.weights = nil, nil, nil, nil // a connection keeps its last search while unused
 }
 
 // drop forgets a part once its search is over and all its sub-requests are told: until then the module may
