At a stop a request that has come already is read before its connection is closed

A request that crossed the end of the half second was answered by a reset: the read deadline in the past keeps the socket from being read once more. One last look of 20 ms takes it.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -83,6 +83,7 @@
 	until    time.Time // of the request that is being read
 	search   *search   // the last one
 	waiting  bool      // for an answer
+	looked   bool      // for a last request
 	answered chan struct{}
 	over     atomic.Bool // the last answer is out
 }
@@ -112,8 +113,11 @@
 			return 0, slow
 		case c.awaits():
 			c.conn.SetReadDeadline(time.Time{})
-		case c.stopping.Err() != nil:
+		case c.stopping.Err() != nil && c.looked:
 			return 0, closing
+		case c.stopping.Err() != nil: // a request that has come by now is taken
+			c.looked = true
+			c.conn.SetReadDeadline(now.Add(lastLook))
 		default:
 			return 0, unused
 		}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -327,12 +327,21 @@
 
 // A client that never finishes its request is closed after a bounded time, one that is waked early reads on.
 func TestSlowClient(t *testing.T) {
-	here, there := net.Pipe()
+	ln := listen(t)
+	there, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
 	defer there.Close()
+	here, err := ln.Accept()
+	require.NoError(t, err)
+	defer here.Close()
+	send := func() {
+		_, err := there.Write([]byte("x"))
+		require.NoError(t, err)
+	}
 	f := &front{stopping: context.Background()}
 	c := &client{front: f, conn: here, answered: make(chan struct{}, 1), until: time.Now().Add(patience)}
 	c.kick()
-	go there.Write([]byte("x"))
+	send()
 	n, err := c.Read(make([]byte, 1))
 	require.Equal(t, 1, n)
 	require.NoError(t, err)
@@ -343,6 +352,16 @@
 	c.until = time.Time{}
 	_, err = c.Read(make([]byte, 1))
 	require.Equal(t, unused, endingOf(err))
+	stopping, stop := context.WithCancel(context.Background())
+	stop()
+	c.stopping = stopping
+	c.kick()
+	send() // before the last look
+	n, err = c.Read(make([]byte, 1))
+	require.Equal(t, 1, n)
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	require.Equal(t, closing, endingOf(err))
 }
 
 // A replica that refuses connections, and one that never was where the list says, cost no search.
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -43,6 +43,7 @@
 	watchSlack   = 2 * time.Second        // an answer later than that after the wait will not come
 	askPause     = 500 * time.Millisecond // first wait before a list that comes by itself is asked for again
 	askPauseMost = 8 * time.Second        // longest such wait: within the time of common rules
+	lastLook     = 20 * time.Millisecond  // for a request that came as the stop's wait ended: it is there already
 	lingerTime   = time.Second            // for a client to read its last answer and close
 	silentDials  = 2                      // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                   // that weights may miss 1 by: rounding of a hundred parts
