--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -433,6 +433,20 @@
 	require.NotContains(t, r.log.String(), "event=fault")
 }
 
+// Version 0 is a version: the first call waits for what is newer. An answer that brings nothing and did not
+// wait counts as a failed call.
+func TestListWithoutEnd(t *testing.T) {
+	list := &standList{ln: listen(t), answers: make(chan string, 1), calls: make(chan string, 1)}
+	go list.serve()
+	o := &owner{plan: &Plan{Discovery: list.ln.Addr().String()}, ctx: context.Background(),
+		Means: Means{Dial: (&net.Dialer{}).DialContext}}
+	list.answers <- `{"version":0,"full":true,"servers":[]}`
+	version := 0.0
+	require.ErrorContains(t, o.watch(&version), "nothing new")
+	require.Equal(t, "/v1/servers?index=0&wait=20000", <-list.calls)
+	close(list.answers)
+}
+
 // Where the list comes by itself, calls are made without the module asking, and go on after failures.
 func TestListByItself(t *testing.T) {
 	r := start(t, 256, func(s map[string]any) { s["Discovery"] = "automatic" })
