One step takes unbegun sub-requests back; idle's sum, the list's version and END's words stand once

Read through, behaviour as it was. giveUp and unsend held the same recall and reload: takeBack serves both. dial repeated idle's first wait; it calls idle. hear made its table of ends anew for each answer. heardList read the version a second time beside readList. A keep that nothing read and a check that could not be met are gone, and the comment on a result's order says what the order is.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -163,9 +163,6 @@
 		if err == nil {
 			c.waiting = true
 			err = c.request(method, target, head, body, keep, came)
-			keep = keep && err == nil
-		} else {
-			keep = false
 		}
 		var bad http1.Fault
 		if errors.As(err, &bad) {
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -13,12 +13,12 @@
 
 var states = map[string]string{"up": "healthy", "draining": "cordoned", "removed": "deregistered"}
 
-// readList looks at a whole list or changes and returns what tells the owner and the module of them.
-func (o *owner) readList(all map[string]any) (tell func(how string), err error) {
+// readList looks at a whole list or changes and returns its version and what tells the owner and the module.
+func (o *owner) readList(all map[string]any) (version float64, tell func(how string), err error) {
 	version, ok := amount(all["version"])
 	list, ok2 := all["servers"].([]any)
 	if !ok || !ok2 {
-		return nil, errors.New("no version or no servers")
+		return 0, nil, errors.New("no version or no servers")
 	}
 	var steps []func()
 	present := map[string]bool{}
@@ -28,17 +28,18 @@
 		cell, ok := amount(m["cell"])
 		units, _ := amount(m["weight"])
 		since, _ := amount(m["started_ms"])
-		if id == "" || status == "" || addr == "" && status != "deregistered" || !ok && status != "deregistered" {
-			return nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
+		gone := status == "deregistered"
+		if id == "" || status == "" || !gone && (addr == "" || !ok) {
+			return 0, nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
 		}
 		zone, kind := o.nth("FailureDomains", word(m["zone"])), o.nth("MachineTypes", word(m["kind"]))
-		present[id] = status != "deregistered"
+		present[id] = !gone
 		steps = append(steps, func() {
-			o.place(id, addr, status == "deregistered")
+			o.place(id, addr, gone)
 			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
 		})
 	}
-	return func(how string) {
+	return version, func(how string) {
 		for _, step := range steps {
 			step()
 		}
@@ -146,11 +147,10 @@
 	if err != nil {
 		return err
 	}
-	tell, err := o.readList(all)
+	v, tell, err := o.readList(all)
 	if err != nil {
 		return err
 	}
-	v, _ := amount(all["version"])
 	full, _ := all["full"].(bool)
 	switch {
 	case v < *version:
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -74,7 +74,7 @@
 	kind    int
 	whole   bool
 	retryIn int64
-	parts   []*part // in the order they came
+	parts   []*part // that are in, in the search's order
 }
 
 const (
@@ -150,7 +150,7 @@
 	o.now = o.clock()
 	o.module.Clock(o.now)
 	o.module.Start(o.plan.seed, o.plan.facts)
-	tell, err := o.readList(o.plan.known)
+	_, tell, err := o.readList(o.plan.known)
 	if err == nil {
 		tell("Persisted")
 	}
@@ -258,7 +258,7 @@
 
 // withdraw tells the module that the client has left.
 func (o *owner) withdraw(s *search) {
-	if s.id == 0 || s.over {
+	if s.over {
 		return
 	}
 	o.finish(s)
@@ -270,7 +270,9 @@
 	delete(o.searches, s.id)
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
-			o.unsend(sub)
+			if sub.call != nil && o.takeBack(sub) { // nothing is sent after the final answer
+				o.later(func() { o.landed(sub, "Ignored", nil) })
+			}
 		}
 		o.drop(p)
 	}
@@ -303,7 +305,7 @@
 		return
 	}
 	in := o.in(s)
-	if more := int(o.followUp(s.qtype)); s.step == 1 && more > 0 {
+	if more := o.followUp(s.qtype); s.step == 1 && more > 0 {
 		s.whole = whole
 		for _, p := range in {
 			s.from = append(s.from, p.shard)
@@ -316,9 +318,9 @@
 	s.reply(result{kind: answered, whole: whole, parts: in})
 }
 
-func (o *owner) followUp(qtype int) float64 {
+func (o *owner) followUp(qtype int) int {
 	v, _ := strconv.ParseFloat(o.plan.list("Specifics.FollowUp")[qtype], 64)
-	return v
+	return int(v)
 }
 
 // secondStep makes the parts of the second step: at the shards with the highest scores, the lower number
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -110,34 +110,31 @@
 	if sub.call == nil {
 		return
 	}
-	c := sub.call
-	o.leave(sub)
-	if l := c.line; l != nil {
-		if c.parcel.recall() {
-			o.load(l, c) // what is left of the call goes without it
-		} else {
-			b := lend()
-			*b = frame.AppendCancel(*b, sub.name)
-			l.put(&parcel{b: b})
-		}
-		// Guards against a machine that went silent: its open connection would swallow part after part. One
-		// new connection tells more than the old one: it comes up or does not.
-		if l.heard < sub.sent && o.now-sub.sent > silentDials*int64(o.plan.span("Permissions.DialTimeout")/tenth) {
-			o.retire(l)
-		}
+	l := sub.call.line
+	if !o.takeBack(sub) {
+		o.leave(sub)
+		b := lend()
+		*b = frame.AppendCancel(*b, sub.name)
+		l.put(&parcel{b: b})
+	}
+	// Guards against a machine that went silent: its open connection would swallow part after part. One new
+	// connection tells more than the old one: it comes up or does not.
+	if l != nil && l.heard < sub.sent &&
+		o.now-sub.sent > silentDials*int64(o.plan.span("Permissions.DialTimeout")/tenth) {
+		o.retire(l)
 	}
 	o.later(func() { o.landed(sub, outcome, nil) })
 }
 
-// unsend takes back what was not begun for a search that is over: nothing is sent after its final answer.
-func (o *owner) unsend(sub *subRequest) {
-	if c := sub.call; c != nil && (c.line == nil || c.parcel.recall()) {
-		o.leave(sub)
-		if c.line != nil {
-			o.load(c.line, c)
-		}
-		o.later(func() { o.landed(sub, "Ignored", nil) })
+// takeBack takes a sub-request off its call if no byte of that has been begun; the rest goes without it.
+func (o *owner) takeBack(sub *subRequest) bool {
+	c := sub.call
+	if c.line != nil && !c.parcel.recall() {
+		return false
 	}
+	o.leave(sub)
+	o.load(c)
+	return true
 }
 
 // leave takes a sub-request off its call and connection.
@@ -183,16 +180,16 @@
 			c.line = l
 			l.calls++
 			l.subs = append(l.subs, c.subs...)
-			o.load(l, c)
+			o.load(c)
 		}
 		r.calls = nil
 	}
 	o.order = o.order[:0]
 }
 
-// load writes a call's frame.
-func (o *owner) load(l *line, c *call) {
-	if len(c.subs) == 0 {
+// load writes the frame of a call that has a connection.
+func (o *owner) load(c *call) {
+	if c.line == nil || len(c.subs) == 0 {
 		return
 	}
 	b := lend()
@@ -211,8 +208,8 @@
 	}
 	*b = frame.End(*b, 0)
 	c.parcel = &parcel{b: b}
-	l.usedAt = o.now
-	l.put(c.parcel)
+	c.line.usedAt = o.now
+	c.line.put(c.parcel)
 }
 
 // lineFor finds a connection with room for a call, or opens one; nil where no descriptor is left for it.
@@ -265,10 +262,12 @@
 		o.post(func() { o.ended(l, end, addr) })
 		return nil
 	})
-	o.after(int64(idleShare*float64(o.plan.span("Permissions.ConnIdle")/tenth)), func() { o.idle(l) })
+	o.idle(l)
 	return l
 }
 
+var outcomes = map[string]string{"good": "Ok", "bad": "Failed", "later": "QueueFull"}
+
 // hear reads a replica's frames to the end of the connection.
 func (o *owner) hear(l *line, conn net.Conn) error {
 	src := readers.Get().(*bufio.Reader)
@@ -292,7 +291,7 @@
 			return garbled
 		}
 		id, end, score, report, value, err := frame.ReadAnswer(rest)
-		outcome := map[string]string{"good": "Ok", "bad": "Failed", "later": "QueueFull"}[end]
+		outcome := outcomes[end]
 		if err == nil && (outcome == "" || outcome == "Ok" && score == nil) {
 			err = fmt.Errorf("%w: end %.20q, score %v", frame.ErrBad, end, score)
 		}
@@ -344,7 +343,7 @@
 	o.forget(l.r)
 }
 
-// idle closes a connection that has been unused before its replica would.
+// idle closes a connection that has been unused, before its replica would, and until then looks again.
 func (o *owner) idle(l *line) {
 	if l.shut {
 		return
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -137,7 +137,7 @@
 	if p.known, ok = all["known"].(map[string]any); !ok {
 		return nil, errors.New("known is missing")
 	}
-	if _, err := (&owner{plan: p}).readList(p.known); err != nil {
+	if _, _, err := (&owner{plan: p}).readList(p.known); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	return p, p.check()
