Client connections at rest make room for newcomers; a request has 2.5 s to come

At fault: accept in clients.go waited for room while quietTime kept unused connections two minutes. Ruled out: CPU (0.13 of 0.25 s in the busiest second), memory (14 of 48 MB), replicas (no refused connect, list calls in order).

Now the connection longest without an open search is closed for a newcomer, one at rest ends after 3 s, and the first request has to be there 2.5 s after connecting. Requests that can be read and not used keep their connection; those sent before the last answer are an error; an id that is open is a 409. Log lines wait in a bounded buffer, so that the owner waits for none, and what strangers repeat is one line a second with a count.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -1,11 +1,11 @@
 package coordinator
 
 import (
+	"container/list"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"net/url"
@@ -25,50 +25,43 @@
 	stopping         context.Context // done once no new requests are awaited
 }
 
-// accept takes clients' connections in until the listener is closed. With its share of the descriptors in
-// use it lets them wait in the system's backlog.
+// accept takes clients' connections in until the listener is closed.
 func (f *front) accept() error {
 	o := f.o
-	room := make(chan struct{}, max(1, int(clientShare*float64(o.plan.Sockets))))
+	g := newGate(int(clientShare * float64(o.plan.Sockets)))
 	for {
-		select {
-		case room <- struct{}{}:
-		default:
-			o.Log.Printf("event=no_descriptor side=clients open=%d", cap(room))
-			select {
-			case room <- struct{}{}:
-			case <-o.ctx.Done():
-				return nil
-			}
-		}
 		conn, err := o.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			o.post(func() { o.ending = true })
 			return nil
 		}
 		if err != nil {
-			<-room
-			o.Log.Printf("event=accept_failed error=%q", err)
+			o.log.often("accept_failed", "error=%q", err)
 			select {
 			case <-o.Clock.After(acceptPause):
 			case <-o.ctx.Done():
 			}
 			continue
 		}
-		l := newLink(o.ctx, clientRoom)
-		o.post(func() { o.clients[l] = true })
+		c := &client{front: f, link: newLink(o.ctx, clientRoom), gate: g, conn: conn,
+			first: time.Now().Add(headTime), answered: make(chan struct{}, 1)}
+		if !g.enter(c, o.ctx.Done()) {
+			conn.Close()
+			return nil
+		}
+		o.post(func() { o.clients[c.link] = true })
 		o.g.Go(func() error {
-			c := &client{front: f, link: l, conn: conn, answered: make(chan struct{}, 1)}
 			end := c.serve(conn, clientStall, c.read, c.wrote)
-			<-room
+			g.leave(c)
 			o.post(func() {
-				delete(o.clients, l)
+				delete(o.clients, c.link)
 				if c.search != nil { // whichever way it ended: a search still on it has lost its client
 					o.withdraw(c.search)
 				}
 			})
-			if end == slow || end == garbled || end == crowded || end == stuck {
-				o.Log.Printf("event=client_connection_ended client=%s end=%s", conn.RemoteAddr(), end)
+			switch end {
+			case slow, garbled, crowded, stuck, displaced:
+				o.log.often("client_connection_"+end.Error(), "client=%s", conn.RemoteAddr())
 			}
 			return nil
 		})
@@ -79,7 +72,10 @@
 type client struct {
 	*front
 	*link
+	gate     *gate
+	place    *list.Element // in the gate's list, while at rest; the gate's
 	conn     net.Conn
+	first    time.Time // limit of the first request; zero once that is there
 	until    time.Time // of the request that is being read
 	search   *search   // the last one
 	waiting  bool      // for an answer
@@ -134,8 +130,8 @@
 	rd := http1.NewReader(c, (*buf)[:bufferSize])
 	for {
 		c.until = time.Time{}
-		limit := time.Time{}
-		if !c.awaits() {
+		limit := c.first
+		if limit.IsZero() && !c.awaits() {
 			limit = time.Now().Add(quietTime)
 		}
 		c.rest(limit)
@@ -145,39 +141,80 @@
 		if c.over.Load() {
 			return closing
 		}
-		c.until = time.Now().Add(headTime)
+		if c.awaits() {
+			if err := c.ahead(ctx); err != nil {
+				return err
+			}
+		}
+		if c.until = c.first; c.first.IsZero() {
+			c.until = time.Now().Add(headTime)
+		}
 		c.conn.SetReadDeadline(c.until)
 		method, target, head, body, keep, err := rd.Request()
 		came := c.o.Clock.Now()
-		if c.awaits() { // sent ahead: answers keep their order
-			select {
-			case <-c.answered:
-				c.waiting = false
-			case <-ctx.Done():
-				return closing
-			}
-			if c.over.Load() {
-				return closing
-			}
-		}
+		c.first = time.Time{}
 		if err == nil {
+			if !c.gate.begin(c) {
+				return displaced
+			}
 			c.waiting = true
 			err = c.request(method, target, head, body, keep, came)
 		}
+		var no refusal
 		var bad http1.Fault
-		if errors.As(err, &bad) {
-			c.o.Log.Printf("event=bad_request client=%s status=%d error=%q", c.conn.RemoteAddr(), bad.Status,
-				bad.Text)
+		switch {
+		case errors.As(err, &no): // the next request can be told from this one
+			c.o.log.often("refused", "client=%s status=%d error=%q", c.conn.RemoteAddr(), no.status, no.text)
+			c.respond(no.status, "", []byte("{}"), keep)
+		case errors.As(err, &bad):
+			c.o.log.often("bad_request", "client=%s status=%d error=%q", c.conn.RemoteAddr(), bad.Status, bad.Text)
 			c.respond(bad.Status, "", []byte("{}"), false)
-			io.Copy(io.Discard, c) // so that the client can read why, whatever it still sends
+			c.drain(ctx, (*buf)[:bufferSize])
 			return garbled
-		}
-		if err != nil {
+		case err != nil:
 			return endingOf(err)
 		}
 	}
 }
 
+// ahead looks at bytes that came before the answer to the request before them. If that answer is on its way,
+// its client may have it already. Otherwise the client sends ahead, which the protocol rules out.
+// Guards against hundreds of requests sent at once: the one that is open is withdrawn and gets an error.
+func (c *client) ahead(ctx context.Context) error {
+	s := c.search
+	c.o.post(func() {
+		if s != nil && !s.over {
+			c.o.withdraw(s)
+			c.o.log.often("sent_ahead", "client=%s", c.conn.RemoteAddr())
+			c.respond(400, "", []byte("{}"), false)
+		}
+	})
+	select {
+	case <-c.answered:
+		c.waiting = false
+	case <-ctx.Done():
+		return closing
+	}
+	if c.over.Load() {
+		return closing
+	}
+	return nil
+}
+
+// drain reads on after a last answer, so that the client can read why, whatever it still sends; not for good.
+func (c *client) drain(ctx context.Context, buf []byte) {
+	for left := lingerMost; left > 0; {
+		n, err := c.Read(buf)
+		if left -= n; err != nil {
+			return
+		}
+	}
+	select {
+	case <-c.answered:
+	case <-ctx.Done():
+	}
+}
+
 // rest lets the connection be unused up to a time. Guards against a stop whose kick came just before.
 func (c *client) rest(limit time.Time) {
 	c.conn.SetReadDeadline(limit)
@@ -200,6 +237,7 @@
 	} else {
 		c.rest(time.Now().Add(quietTime))
 	}
+	c.gate.rest(c, c.over.Load())
 	select {
 	case c.answered <- struct{}{}:
 	default:
@@ -214,10 +252,16 @@
 	c.put(&parcel{b: b, last: !keep})
 }
 
-func refuse(format string, v ...any) error {
-	return http1.Fault{Status: 400, Text: fmt.Sprintf(format, v...)}
+// refusal is what a request gets that can be read and not be used.
+type refusal struct {
+	status int
+	text   string
 }
 
+func (r refusal) Error() string { return r.text }
+
+func refuse(format string, v ...any) error { return refusal{400, fmt.Sprintf(format, v...)} }
+
 // request hands one request to the owner.
 func (c *client) request(method, target string, head map[string]string, body []byte, keep bool,
 	came time.Time) error {
@@ -229,7 +273,7 @@
 	first, _, _ := strings.Cut(strings.TrimPrefix(u.Path, "/"), "/")
 	if u.Path == "/healthz" {
 		if method != "GET" {
-			return http1.Fault{Status: 405, Text: "method of /healthz"}
+			return refusal{405, "method of /healthz"}
 		}
 		o.post(func() {
 			status := 200
@@ -244,9 +288,9 @@
 	qtype, ok := c.classes[head["x-class"]]
 	switch {
 	case method != "POST" && known:
-		return http1.Fault{Status: 405, Text: "method of a search"}
+		return refusal{405, "method of a search"}
 	case method != "POST":
-		return http1.Fault{Status: 404, Text: "no such path"}
+		return refusal{404, "no such path"}
 	case !ok:
 		return refuse("X-Class %.40q", head["x-class"])
 	case first != head["x-class"]:
@@ -305,7 +349,7 @@
 		if !ok1 || shard != math.Trunc(shard) || n < 0 || n >= shards || seen[n] {
 			return refuse("range %v", m["range"])
 		}
-		if !ok2 || weight < 0 {
+		if !ok2 || weight <= 0 || weight > 1+weightSlack {
 			return refuse("portion %v", m["portion"])
 		}
 		seen[n], sum = true, sum+weight
@@ -320,6 +364,8 @@
 // answer writes a final answer; an owner's call.
 func (c *client) answer(r result, keep bool) {
 	switch r.kind {
+	case taken:
+		c.respond(409, "", []byte("{}"), keep)
 	case errored:
 		c.respond(500, "", []byte("{}"), keep)
 	case shed:
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -29,11 +29,12 @@
 	crowded           // its backlog was full
 	unused            // closed here: nothing was on it for long
 	retired           // closed here: its replica is gone or moved, or it has gone silent
+	displaced         // closed here: it was longest at rest, and another needed its descriptor
 	closing           // closed here after a last answer, or as the co-ordinator stops
 )
 
 var endingWords = [...]string{"", "not_up", "peer_left", "broken", "stuck", "slow", "garbled", "complained",
-	"crowded", "unused", "retired", "closing"}
+	"crowded", "unused", "retired", "displaced", "closing"}
 
 func (e ending) Error() string { return endingWords[e] }
 
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -52,7 +52,7 @@
 		}
 		o.listed = o.listed || len(o.fleet) > 0
 		o.module.ListDone(how, int64(version))
-		o.Log.Printf("event=list how=%s version=%.0f entries=%d", how, version, len(list))
+		o.log.Printf("event=list how=%s version=%.0f entries=%d", how, version, len(list))
 	}, nil
 }
 
@@ -85,7 +85,7 @@
 		if o.ctx.Err() != nil {
 			return nil
 		}
-		o.Log.Printf("event=list_failed version=%.0f error=%q", version, err)
+		o.log.Printf("event=list_failed version=%.0f error=%q", version, err)
 		if asked {
 			o.post(func() { o.module.ListDone("Error", 0) })
 			continue
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -22,6 +22,7 @@
 // so they may wait for it. The queue is bounded by queueRoom; while it is full, sockets are not read.
 type owner struct {
 	Means
+	log    *notes
 	plan   *Plan
 	module logic.Coordinator
 	g      *errgroup.Group
@@ -36,6 +37,7 @@
 	next     []func() // what the next turn begins with
 	lastID   uint64
 	searches map[uint64]*search
+	names    map[string]bool // of the searches
 	parts    map[uint64]*part
 	fleet    map[string]*replica
 	order    []*replica // with calls to go out at the end of the turn
@@ -81,6 +83,7 @@
 	answered = iota
 	shed
 	errored
+	taken // never was a search: another that is open bears its name
 )
 
 // part is one part of a search's step.
@@ -162,7 +165,7 @@
 func (o *owner) run() (err error) {
 	defer func() {
 		if r := recover(); r != nil {
-			o.Log.Printf("event=fault error=%q stack=%q", fmt.Sprint(r), debug.Stack())
+			o.log.Printf("event=fault error=%q stack=%q", fmt.Sprint(r), debug.Stack())
 			err = fmt.Errorf("fault in a turn: %v", r)
 		}
 	}()
@@ -237,6 +240,12 @@
 
 // take hands a search to the module. What is held is bounded by the clients' connections: one search each.
 func (o *owner) take(s *search) {
+	if o.names[s.name] { // guards against two whose parts no replica can tell apart
+		s.over = true
+		s.reply(result{kind: taken})
+		return
+	}
+	o.names[s.name] = true
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
 	s.id, s.step = o.number(), 1
 	o.searches[s.id] = s
@@ -268,6 +277,7 @@
 func (o *owner) finish(s *search) {
 	s.over = true
 	delete(o.searches, s.id)
+	delete(o.names, s.name)
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
 			if sub.call != nil && o.takeBack(sub) { // nothing is sent after the final answer
@@ -369,5 +379,5 @@
 }
 
 func (o *owner) Note(text string) {
-	o.Log.Printf("event=note text=%q", strings.ToValidUTF8(text, "?"))
+	o.log.Printf("event=note text=%q", strings.ToValidUTF8(text, "?"))
 }
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -222,7 +222,7 @@
 	if float64(o.lines) >= replicaShare*float64(o.plan.Sockets) {
 		if o.now >= o.saidAt+int64(time.Second/tenth) {
 			o.saidAt = o.now
-			o.Log.Printf("event=no_descriptor side=replicas open=%d", o.lines)
+			o.log.Printf("event=no_descriptor side=replicas open=%d", o.lines)
 		}
 		return nil
 	}
@@ -277,17 +277,17 @@
 		letter, rest, err := frame.Read(src)
 		switch {
 		case errors.Is(err, frame.ErrBad):
-			o.Log.Printf("event=bad_frame replica=%s error=%q", l.r.id, err)
+			o.log.Printf("event=bad_frame replica=%s error=%q", l.r.id, err)
 			return garbled
 		case err == io.EOF:
 			return peerLeft
 		case err != nil:
 			return broken
 		case letter == frame.Refuse:
-			o.Log.Printf("event=frame_refused replica=%s words=%.200q", l.r.id, rest)
+			o.log.Printf("event=frame_refused replica=%s words=%.200q", l.r.id, rest)
 			return complained
 		case letter != frame.Answer:
-			o.Log.Printf("event=bad_frame replica=%s letter=%q", l.r.id, letter)
+			o.log.Printf("event=bad_frame replica=%s letter=%q", l.r.id, letter)
 			return garbled
 		}
 		id, end, score, report, value, err := frame.ReadAnswer(rest)
@@ -296,7 +296,7 @@
 			err = fmt.Errorf("%w: end %.20q, score %v", frame.ErrBad, end, score)
 		}
 		if err != nil {
-			o.Log.Printf("event=bad_frame replica=%s error=%q", l.r.id, err)
+			o.log.Printf("event=bad_frame replica=%s error=%q", l.r.id, err)
 			return garbled
 		}
 		if !o.post(func() { o.answer(l, id, outcome, score, report, value) }) {
@@ -326,7 +326,7 @@
 	o.lines--
 	l.r.lines = slices.DeleteFunc(l.r.lines, func(x *line) bool { return x == l })
 	if len(l.subs) > 0 || end == notUp {
-		o.Log.Printf("event=replica_connection_ended replica=%s addr=%s end=%s parts=%d", l.r.id, addr, end,
+		o.log.Printf("event=replica_connection_ended replica=%s addr=%s end=%s parts=%d", l.r.id, addr, end,
 			len(l.subs))
 	}
 	// All are taken off before the first is told. Guards against what the module does on hearing of one: it may
--- a/coordinator/standins_test.go
+++ b/coordinator/standins_test.go
@@ -212,6 +212,15 @@
 	require.Eventually(r.t, ok, patience, time.Millisecond, "%s\n%s", why, r.log)
 }
 
+// parts counts those that all replicas got.
+func (r *rig) parts() (n int) {
+	for _, s := range r.replicas {
+		parts, _, _, _ := s.seen()
+		n += len(parts)
+	}
+	return n
+}
+
 func (r *rig) logged(text string) {
 	r.eventually("log line "+text, func() bool { return strings.Contains(r.log.String(), text) })
 }
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -25,29 +25,32 @@
 
 // The constants of the network. What the settings state is not among them.
 const (
-	bufferSize   = 16 << 10               // bytes: a head and most whole messages; 1,000 of them are 16 MB
-	queueRoom    = 1024                   // events waiting for the owner: some for each descriptor of a usual limit
-	clientRoom   = 4                      // answers waiting on a client's connection: clients send one at a time
-	replicaRoom  = 512                    // frames waiting on a replica's: calls of 32 streams with their cancels
-	clientShare  = 0.55                   // of the descriptors go to clients; a search rests on several replicas,
-	replicaShare = 0.35                   // yet parts share connections; the rest is for list, log, runtime
-	memoryShare  = 0.75                   // of the memory limit is the runtime's goal: the rest is stacks, kernel
-	headTime     = 10 * time.Second       // from a request's first byte to its last: slow networks need seconds
-	quietTime    = 2 * time.Minute        // an unused client connection is closed: clients keep theirs less long
-	clientStall  = 5 * time.Second        // a client that takes no byte of its answer so long has left
-	idleShare    = 0.7                    // of the time at which replicas close what is idle: ends that race
-	takeOn       = 500 * time.Millisecond // requests still come after a stop: the platform's 0.4 s and a little
-	acceptPause  = 100 * time.Millisecond // before accepting again with no descriptor left: some will be free
-	longWait     = time.Hour              // longest client timeout that is believed: bounds what is held
-	watchWait    = 20 * time.Second       // of one call for changes: few empty answers, and a dead way shows
-	watchSlack   = 2 * time.Second        // an answer later than that after the wait will not come
-	askPause     = 500 * time.Millisecond // first wait before a list that comes by itself is asked for again
-	askPauseMost = 8 * time.Second        // longest such wait: within the time of common rules
-	lastLook     = 20 * time.Millisecond  // for a request that came as the stop's wait ended: it is there already
-	lingerTime   = time.Second            // for a client to read its last answer and close
-	silentDials  = 2                      // times the time to connect without a word: the connection is doubted
-	weightSlack  = 0.01                   // that weights may miss 1 by: rounding of a hundred parts
-	nameMost     = 128                    // bytes of a request's id: it stands in each of its frames
+	bufferSize   = 16 << 10                // bytes: a head and most whole messages; 1,000 of them are 16 MB
+	queueRoom    = 1024                    // events waiting for the owner: some for each descriptor of a usual limit
+	clientRoom   = 4                       // answers waiting on a client's connection: clients send one at a time
+	replicaRoom  = 512                     // frames waiting on a replica's: calls of 32 streams with their cancels
+	clientShare  = 0.55                    // of the descriptors go to clients; a search rests on several replicas,
+	replicaShare = 0.35                    // yet parts share connections; the rest is for list, log, runtime
+	memoryShare  = 0.75                    // of the memory limit is the runtime's goal: the rest is stacks, kernel
+	headTime     = 2500 * time.Millisecond // for a request to come, the first from connecting: under 3 s are owed
+	quietTime    = 3 * time.Second         // a client connection at rest is closed: usual clients ask several a second
+	clientStall  = 5 * time.Second         // a client that takes no byte of its answer so long has left
+	idleShare    = 0.7                     // of the time at which replicas close what is idle: ends that race
+	takeOn       = 500 * time.Millisecond  // requests still come after a stop: the platform's 0.4 s and a little
+	acceptPause  = 100 * time.Millisecond  // before accepting again with no descriptor left: some will be free
+	longWait     = time.Hour               // longest client timeout that is believed: bounds what is held
+	watchWait    = 20 * time.Second        // of one call for changes: few empty answers, and a dead way shows
+	watchSlack   = 2 * time.Second         // an answer later than that after the wait will not come
+	askPause     = 500 * time.Millisecond  // first wait before a list that comes by itself is asked for again
+	askPauseMost = 8 * time.Second         // longest such wait: within the time of common rules
+	lastLook     = 20 * time.Millisecond   // for a request that came as the stop's wait ended: it is there already
+	lingerTime   = time.Second             // for a client to read its last answer and close
+	lingerMost   = 256 << 10               // bytes read meanwhile: four of the longest bodies; more is cut off
+	logRoom      = 1024                    // lines waiting for the log: a burst of some for each connection
+	logEach      = time.Second             // between two lines on one thing that strangers can repeat at will
+	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
+	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
+	nameMost     = 128                     // bytes of a request's id: it stands in each of its frames
 )
 
 // Plan is what one co-ordinator is told at start.
@@ -295,8 +298,8 @@
 	g, work := errgroup.WithContext(context.WithoutCancel(ctx))
 	stopping, stop := context.WithCancel(work)
 	defer stop()
-	o := &owner{plan: p, Means: m, g: g, ctx: work, queue: make(chan func(), queueRoom),
-		start: m.Clock.Now(), searches: map[uint64]*search{}, parts: map[uint64]*part{},
+	o := &owner{plan: p, Means: m, log: newNotes(m.Clock), g: g, ctx: work, queue: make(chan func(), queueRoom),
+		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{},
 		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), clients: map[*link]bool{}}
 	o.base = o.start.UnixMicro() / 100
 	f := &front{o: o, classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
@@ -305,11 +308,12 @@
 		m.Listener.Close()
 		return err
 	}
+	g.Go(func() error { return o.log.write(work, m.Log) })
 	g.Go(o.run)
 	g.Go(f.accept)
 	g.Go(o.follow)
 	g.Go(func() error { return o.windUp(ctx, stop) })
-	m.Log.Printf("event=serving name=%s listen=%s discovery=%s sockets=%d memory_mb=%d cores=%g", p.Name,
+	o.log.Printf("event=serving name=%s listen=%s discovery=%s sockets=%d memory_mb=%d cores=%g", p.Name,
 		m.Listener.Addr(), p.Discovery, p.Sockets, p.MemoryMB, p.Cores)
 	if err = g.Wait(); errors.Is(err, errDone) {
 		err = nil
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -37,14 +37,18 @@
 // NewReader reads by way of buf, which no one else may use meanwhile; it has to hold a head.
 func NewReader(src io.Reader, buf []byte) *Reader { return &Reader{src: src, buf: buf} }
 
-// Await returns once the first byte of the next message is there.
+// Await returns once the first byte of the next message is there; empty lines before it are passed over.
 func (r *Reader) Await() error {
-	for r.r == r.w {
+	for {
+		for ; r.r < r.w; r.r++ {
+			if b := r.buf[r.r]; b != '\r' && b != '\n' {
+				return nil
+			}
+		}
 		if err := r.fill(); err != nil {
 			return err
 		}
 	}
-	return nil
 }
 
 func (r *Reader) fill() error {
@@ -293,7 +297,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
+	408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
