A spoilt answer fails one part; it no longer stands for a crash of its replica

A note of the module's state each half second showed 30 searches in the queue, 1 to 4 parts that no replica might take, and replicas marked down one after another. At fault: ending.outcome told a spoilt answer, whose connection we close, as ResetByPeer for each part on it; the module takes that for a crash, so the next answer made the replica a cold one, with a small share for up to 17 s. The bytes that came were logged: noise, length 0, lengths under and over the frame, unknown letters, ends and ids, unreadable reports.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -36,7 +36,7 @@
 			return nil
 		}
 		if err != nil {
-			o.log.often("accept_failed", "error=%q", err)
+			o.log.often("accept", "event=accept_failed error=%q", err)
 			select {
 			case <-o.Clock.After(acceptPause):
 			case <-o.ctx.Done():
@@ -61,7 +61,7 @@
 			})
 			switch end {
 			case slow, garbled, crowded, stuck, displaced:
-				o.log.often("client_connection_"+end.Error(), "client=%s", conn.RemoteAddr())
+				o.log.often("client "+end.Error(), "event=client_connection_ended client=%s end=%s", conn.RemoteAddr(), end)
 			}
 			return nil
 		})
@@ -164,10 +164,11 @@
 		var bad http1.Fault
 		switch {
 		case errors.As(err, &no): // the next request can be told from this one
-			c.o.log.often("refused", "client=%s status=%d error=%q", c.conn.RemoteAddr(), no.status, no.text)
+			c.o.log.often("refused", "event=refused client=%s status=%d error=%q", c.conn.RemoteAddr(), no.status, no.text)
 			c.respond(no.status, "", []byte("{}"), keep)
 		case errors.As(err, &bad):
-			c.o.log.often("bad_request", "client=%s status=%d error=%q", c.conn.RemoteAddr(), bad.Status, bad.Text)
+			c.o.log.often("bad_request", "event=bad_request client=%s status=%d error=%q", c.conn.RemoteAddr(),
+				bad.Status, bad.Text)
 			c.respond(bad.Status, "", []byte("{}"), false)
 			c.drain(ctx, (*buf)[:bufferSize])
 			return garbled
@@ -185,7 +186,7 @@
 	c.o.post(func() {
 		if s != nil && !s.over {
 			c.o.withdraw(s)
-			c.o.log.often("sent_ahead", "client=%s", c.conn.RemoteAddr())
+			c.o.log.often("sent_ahead", "event=sent_ahead client=%s", c.conn.RemoteAddr())
 			c.respond(400, "", []byte("{}"), false)
 		}
 	})
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -20,6 +21,7 @@
 const (
 	_          ending = iota
 	notUp             // refused, or not up in time
+	starved           // not opened: this side has no descriptor or port left
 	peerLeft          // the other side closed it between messages
 	broken            // reset, or cut inside a message
 	stuck             // a write failed or did not end in time
@@ -33,18 +35,31 @@
 	closing           // closed here after a last answer, or as the co-ordinator stops
 )
 
-var endingWords = [...]string{"", "not_up", "peer_left", "broken", "stuck", "slow", "garbled", "complained",
-	"crowded", "unused", "retired", "displaced", "closing"}
+var endingWords = [...]string{"", "not_up", "starved", "peer_left", "broken", "stuck", "slow", "garbled",
+	"complained", "crowded", "unused", "retired", "displaced", "closing"}
 
 func (e ending) Error() string { return endingWords[e] }
 
-// outcome is the one place where ends of connections become the module's words: what never was on the
-// connection whole has not run; anything else may have.
-func (e ending) outcome(written bool) string {
-	if e == notUp || !written {
+// outcome is the one place where ends of connections become the module's words. What the other side ended: a
+// part whose frame was never on it whole could not connect, any other was reset. What this side ended: a part
+// was never sent, or was called off, and may have run; the replica is not down for that. Guards against a
+// spoilt answer that stands for a crash. But whoever spoils an answer has failed one part, the first.
+func (e ending) outcome(written, first bool) string {
+	switch e {
+	case notUp, peerLeft, broken, stuck:
+		if written {
+			return "ResetByPeer"
+		}
 		return "ConnectError"
+	case slow, garbled, complained:
+		if written && first {
+			return "Failed"
+		}
+	}
+	if written {
+		return "Canceled"
 	}
-	return "ResetByPeer"
+	return "Ignored"
 }
 
 // endingOf names what reading met.
@@ -59,6 +74,9 @@
 		return closing
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return slow
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
+		errors.Is(err, syscall.EADDRNOTAVAIL):
+		return starved
 	}
 	return broken
 }
--- a/coordinator/logging.go
+++ b/coordinator/logging.go
@@ -17,8 +17,8 @@
 	lost  atomic.Int64
 
 	mu    sync.Mutex
-	spoke map[string]time.Time // when each event that can be repeated at will was last written
-	more  map[string]int       // and how often it was left out since; events are constants of the code
+	spoke map[string]time.Time // when each kind that can be repeated at will was last written
+	more  map[string]int       // and how often it was left out since; kinds are constants of the code
 }
 
 func newNotes(clock Clock) *notes {
@@ -34,18 +34,18 @@
 	}
 }
 
-// often writes what others can bring about at will: one line an event each logEach, with the count of those
-// left out. Guards against strangers who fill the log.
-func (n *notes) often(event, format string, v ...any) {
+// often writes what others can bring about at will: one line a kind each logEach, with the count of those left
+// out. Guards against strangers who fill the log.
+func (n *notes) often(kind, format string, v ...any) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	if last, ok := n.spoke[event]; ok && now.Sub(last) < logEach {
-		n.more[event]++
+	if last, ok := n.spoke[kind]; ok && now.Sub(last) < logEach {
+		n.more[kind]++
 		return
 	}
-	n.Printf("event=%s "+format+" left_out=%d", append(append([]any{event}, v...), n.more[event])...)
-	n.spoke[event], n.more[event] = now, 0
+	n.Printf(format+" left_out=%d", append(v, n.more[kind])...)
+	n.spoke[kind], n.more[kind] = now, 0
 }
 
 // write writes the lines out until ctx ends, and then what is left.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -43,7 +43,6 @@
 	order    []*replica // with calls to go out at the end of the turn
 	lines    int        // connections to replicas
 	sentAt   int64      // the last turn with calls
-	saidAt   int64      // that no descriptor was left
 	listed   bool
 	clients  map[*link]bool
 	ending   bool // no new client connections come
--- a/coordinator/standins_test.go
+++ b/coordinator/standins_test.go
@@ -59,6 +59,14 @@
 	a.reply("good", fmt.Sprint(100+a.shard%3), value)
 }
 
+// writes collects what is written to a connection.
+type writes struct {
+	net.Conn
+	to *strings.Builder
+}
+
+func (w writes) Write(p []byte) (int, error) { return w.to.Write(p) }
+
 // standReplica is a replica: do is called for each part, in a goroutine a connection.
 type standReplica struct {
 	id   string
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -48,6 +48,8 @@
 	lingerMost   = 256 << 10               // bytes read meanwhile: four of the longest bodies; more is cut off
 	logRoom      = 1024                    // lines waiting for the log: a burst of some for each connection
 	logEach      = time.Second             // between two lines on one thing that strangers can repeat at will
+	frameTime    = time.Second             // from a frame's first byte to its last: answers fit a few packets
+	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
 	nameMost     = 128                     // bytes of a request's id: it stands in each of its frames
