SIGHUP reads the plan again; the list is asked for at discovery's new address at once

No handler stood in main.go, and follow in discovery.go knew one address, with a watch of up to 20 s under way on it.

A signal now reads the file again (coordinator.Reloads). A plan that cannot be used changes nothing and is logged. Discovery's address moves at once: the running watch ends, the whole list is asked for at the new place whatever its version, under the subscription there was. The number of descriptors follows too; what has to wait for a restart is named in the log. GW_DISCOVERY holds over the file until the file's own entry changes; a restart that follows is given both anew.

The spoilt answers' test of noise behind an answer was found to pass without the change and now has its own.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -16,6 +16,8 @@
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP) // first of all: none may end the program
 	plan, err := coordinator.Read(os.Getenv)
 	if err != nil {
 		logger.Fatalf("event=no_start error=%q", err)
@@ -26,7 +28,8 @@
 		logger.Fatalf("event=no_start error=%q", err)
 	}
 	if err := plan.Serve(ctx, coordinator.Means{Listener: ln, Dial: (&net.Dialer{}).DialContext,
-		Clock: coordinator.SystemClock{}, Log: logger}); err != nil {
+		Clock: coordinator.SystemClock{}, Log: logger,
+		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, logger)}); err != nil {
 		logger.Fatalf("event=failed error=%q", err)
 	}
 }
--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -28,6 +28,13 @@
 	}
 }
 
+func (g *gate) resize(most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.most = max(1, most)
+	g.stirred()
+}
+
 // enter returns once there is room for a newcomer; false if it is no longer wanted.
 func (g *gate) enter(c *client, given <-chan struct{}) bool {
 	for {
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -21,6 +21,7 @@
 // front is the clients' side: it turns HTTP requests into searches for the owner and results into responses.
 type front struct {
 	o                *owner
+	gate             *gate
 	classes, tenants map[string]int
 	stopping         context.Context // done once no new requests are awaited
 }
@@ -28,7 +29,6 @@
 // accept takes clients' connections in until the listener is closed.
 func (f *front) accept() error {
 	o := f.o
-	g := newGate(int(clientShare * float64(o.plan.Sockets)))
 	for {
 		conn, err := o.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -43,16 +43,16 @@
 			}
 			continue
 		}
-		c := &client{front: f, link: newLink(o.ctx, clientRoom), gate: g, conn: conn,
+		c := &client{front: f, link: newLink(o.ctx, clientRoom), conn: conn,
 			first: time.Now().Add(headTime), answered: make(chan struct{}, 1)}
-		if !g.enter(c, o.ctx.Done()) {
+		if !f.gate.enter(c, o.ctx.Done()) {
 			conn.Close()
 			return nil
 		}
 		o.post(func() { o.clients[c.link] = true })
 		o.g.Go(func() error {
 			end := c.serve(conn, clientStall, c.read, c.wrote)
-			g.leave(c)
+			f.gate.leave(c)
 			o.post(func() {
 				delete(o.clients, c.link)
 				if c.search != nil { // whichever way it ended: a search still on it has lost its client
@@ -72,7 +72,6 @@
 type client struct {
 	*front
 	*link
-	gate     *gate
 	place    *list.Element // in the gate's list, while at rest; the gate's
 	conn     net.Conn
 	first    time.Time // limit of the first request; zero once that is there
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
@@ -370,15 +372,34 @@
 				})
 			}
 			c := r.call()
-			for i := range 4 {
-				c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+			for i := range 8 { // the second step goes out as the answers come
+				c.want(fmt.Sprint("q", i), "deep", 200, "")
 			}
-			require.Equal(t, 16, r.parts(), "no part goes out twice")
+			require.Equal(t, 8*6, r.parts(), "no part goes out twice")
 			r.end()
 		})
 	}
 }
 
+// With noise behind an answer, the connection takes nothing new from that answer on.
+func TestNoiseBehindAnswer(t *testing.T) {
+	here, there := net.Pipe()
+	defer here.Close()
+	o := &owner{queue: make(chan func(), 4), ctx: context.Background(), log: newNotes(SystemClock{})}
+	l := &line{link: newLink(o.ctx, 1), r: &replica{id: "a0"}, past: map[string]uint64{"q.1": 1}}
+	go func() {
+		asked{id: "q.1", conn: there}.good()
+		asked{id: "q.1", conn: writesMore{there, []byte("noise")}}.good()
+	}()
+	heard := make(chan error, 1)
+	go func() { heard <- o.hear(l, here) }()
+	(<-o.queue)()
+	require.False(t, l.shut)
+	(<-o.queue)()
+	require.True(t, l.shut)
+	require.Equal(t, garbled, <-heard)
+}
+
 // A search that fells replicas is given up while more of its parts are out on the connection that ended.
 func TestSearchThatFells(t *testing.T) {
 	r := start(t, 256, nil)
@@ -549,13 +570,12 @@
 // Version 0 is a version: the first call waits for what is newer. An answer that brings nothing and did not
 // wait counts as a failed call.
 func TestListWithoutEnd(t *testing.T) {
-	list := &standList{ln: listen(t), answers: make(chan string, 1), calls: make(chan string, 1)}
-	go list.serve()
+	list := newList(t)
 	o := &owner{plan: &Plan{Discovery: list.ln.Addr().String()}, ctx: context.Background(),
 		Means: Means{Dial: (&net.Dialer{}).DialContext}}
 	list.answers <- `{"version":0,"full":true,"servers":[]}`
 	version := 0.0
-	require.ErrorContains(t, o.watch(&version), "nothing new")
+	require.ErrorContains(t, o.watch(o.ctx, o.plan.Discovery, false, &version), "nothing new")
 	require.Equal(t, "/v1/servers?index=0&wait=20000", <-list.calls)
 	close(list.answers)
 }
@@ -571,6 +591,72 @@
 	r.end()
 }
 
+// A new plan: the whole list is asked for at the new place at once, whatever its version, and failures there
+// are asked again there. Searches go on.
+func TestNewPlan(t *testing.T) {
+	r := start(t, 256, nil)
+	require.Equal(t, "/v1/servers?index=7&wait=20000", <-r.list.calls)
+	next := newList(t)
+	p := *r.plan
+	p.Discovery, p.Sockets = next.ln.Addr().String(), 16
+	r.plans <- &p
+	require.Equal(t, "/v1/servers", <-next.calls)
+	next.answers <- fmt.Sprintf(`{"version":3,"full":true,"servers":[%s,%s,%s]}`, r.entry("a0", "draining"),
+		r.entry("a1", "up"), r.entry("b0", "up"))
+	require.Equal(t, "/v1/servers?index=3&wait=20000", <-next.calls)
+	r.logged("how=Complete version=3 entries=3")
+	c := r.call()
+	c.want("q", "all", 200, wholeOfAll)
+	for id, want := range map[string]int{"a0": 0, "a1": 2, "b0": 2, "b1": 0} {
+		parts, _, _, _ := r.replicas[id].seen()
+		require.Len(t, parts, want, id)
+	}
+	for range 20 { // the new number of descriptors holds
+		r.call()
+	}
+	r.logged("end=displaced")
+	next.answers <- "" // fails: the module asks again, at the same place
+	require.Equal(t, "/v1/servers?index=3&wait=20000", <-next.calls)
+	require.Empty(t, r.list.calls)
+	r.end()
+}
+
+// At a signal the file is read again. What it says of discovery holds over the variable once it has changed; a
+// file that cannot be used changes nothing.
+func TestReloads(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.json")
+	write := func(discovery, more string) {
+		require.NoError(t, os.WriteFile(path, []byte(strings.Replace(`{"name":"n","listen":"l","discovery":"`+discovery+
+			`","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":99},"known":{"version":1,"servers":[]},"settings":`+
+			testSettings+`}`, `"Tick"`, more+`"Tick"`, 1)), 0o600))
+	}
+	env := func(name string) string {
+		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "variable"}[name]
+	}
+	write("file", "")
+	first, err := Read(env)
+	require.NoError(t, err)
+	require.Equal(t, "variable", first.Discovery)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	out, signals := &journal{}, make(chan os.Signal)
+	plans := Reloads(ctx, first, signals, env, log.New(out, "", 0))
+	for _, x := range [][3]string{{"file", `"Added":1,`, "variable"}, {"elsewhere", "", "elsewhere"}, {"broken", "{", ""},
+		{"elsewhere", "", "elsewhere"}} {
+		write(x[0], x[1])
+		signals <- syscall.SIGHUP
+		if x[2] == "" {
+			require.Eventually(t, func() bool { return strings.Contains(out.String(), "event=reload_failed") }, patience,
+				time.Millisecond)
+			continue
+		}
+		p := <-plans
+		require.Equal(t, x[2], p.Discovery)
+		require.Equal(t, strings.Contains(x[1], "Added"), first.differs(p) == "settings.Added", x[1])
+	}
+	require.Equal(t, 1, strings.Count(out.String(), "event=reload_failed"))
+}
+
 // At a stop what is held is finished, and requests that still come are taken; then nothing is left.
 func TestStop(t *testing.T) {
 	before := runtime.NumGoroutine()
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -67,57 +67,82 @@
 
 // follow keeps the list up to date. Where the settings leave the asking to the module, each of its
 // subscriptions lasts until it fails, and the module hears of that; elsewhere the list comes by itself, and
-// failures here are followed by waits that grow, spread by chance.
+// failures here are followed by waits that grow, spread by chance. When discovery has moved, the whole list is
+// asked for at the new place at once, under the subscription there was.
 func (o *owner) follow() error {
 	asked := o.plan.facts["Discovery"] == "subscribe"
 	chance, pause := rand.New(rand.NewSource(o.plan.seed)), askPause
 	version, _ := amount(o.plan.known["version"])
+	at, moved := o.plan.Discovery, false
 	for {
-		if asked {
+		if asked && !moved {
 			select {
 			case <-o.asks:
+			case at = <-o.moves:
+				moved = true
 			case <-o.ctx.Done():
 				return nil
 			}
 		}
-		before := version
-		err := o.watch(&version)
+		before, failed, next := version, make(chan error, 1), ""
+		ctx, stop := context.WithCancel(o.ctx)
+		o.g.Go(func() error {
+			failed <- o.watch(ctx, at, moved, &version)
+			return nil
+		})
+		var err error
+		select {
+		case err = <-failed:
+		case next = <-o.moves:
+			stop()
+			<-failed
+		}
+		stop()
+		if moved = next != ""; moved {
+			at, pause = next, askPause
+			continue
+		}
 		if o.ctx.Err() != nil {
 			return nil
 		}
-		o.log.Printf("event=list_failed version=%.0f error=%q", version, err)
+		o.log.Printf("event=list_failed discovery=%s version=%.0f error=%q", at, version, err)
 		if asked {
 			o.post(func() { o.module.ListDone("Error", 0) })
 			continue
 		}
-		if version > before {
+		if version != before {
 			pause = askPause
 		}
 		select {
 		case <-o.Clock.After(pause/2 + time.Duration(chance.Int63n(int64(pause)))):
+		case at = <-o.moves:
+			moved = true
 		case <-o.ctx.Done():
 		}
 		pause = min(2*pause, askPauseMost)
 	}
 }
 
-// watch makes one call after another, until one fails.
-func (o *owner) watch(version *float64) error {
+// watch makes one call after another, until one fails; with anew, the first is for the whole list.
+func (o *owner) watch(ctx context.Context, at string, anew bool, version *float64) error {
 	for {
-		ctx, stop := context.WithTimeout(o.ctx, watchSlack)
-		conn, err := o.Dial(ctx, "tcp", o.plan.Discovery)
+		up, stop := context.WithTimeout(ctx, watchSlack)
+		conn, err := o.Dial(up, "tcp", at)
 		stop()
 		if err != nil {
 			return fmt.Errorf("%w: %w", notUp, err)
 		}
-		unhook := context.AfterFunc(o.ctx, func() { conn.Close() })
+		unhook := context.AfterFunc(ctx, func() { conn.Close() })
 		buf := lend()
 		rd := http1.NewReader(conn, (*buf)[:bufferSize])
-		for keep := true; keep && err == nil; {
+		for keep := true; keep && err == nil; anew = false {
 			target := fmt.Sprintf("/v1/servers?index=%.0f&wait=%d", *version, watchWait.Milliseconds())
+			if anew {
+				target = "/v1/servers"
+			}
 			asked, before := time.Now(), *version
 			conn.SetDeadline(asked.Add(watchWait + watchSlack))
-			if _, err = conn.Write(http1.AppendGet(nil, target, o.plan.Discovery)); err != nil {
+			if _, err = conn.Write(http1.AppendGet(nil, target, at)); err != nil {
 				break
 			}
 			var status int
@@ -126,9 +151,9 @@
 				err = fmt.Errorf("status %d", status)
 			}
 			if err == nil {
-				err = o.heardList(body, version)
+				err = o.heardList(body, anew, version)
 			}
-			if err == nil && *version == before && time.Since(asked) < watchWait/2 {
+			if err == nil && !anew && *version == before && time.Since(asked) < watchWait/2 {
 				err = errors.New("nothing new, and no wait") // guards against asking without end
 			}
 		}
@@ -141,8 +166,9 @@
 	}
 }
 
-// heardList takes one answer; one that is older than the list or cannot be read leaves the list as it is.
-func (o *owner) heardList(body []byte, version *float64) error {
+// heardList takes one answer; one that is older than the list or cannot be read leaves the list as it is. The
+// first from a new place counts whatever its version: versions may have begun again there.
+func (o *owner) heardList(body []byte, anew bool, version *float64) error {
 	all, err := object(body)
 	if err != nil {
 		return err
@@ -153,6 +179,9 @@
 	}
 	full, _ := all["full"].(bool)
 	switch {
+	case anew && !full:
+		return errors.New("changes in place of the whole list")
+	case anew:
 	case v < *version:
 		return fmt.Errorf("version %.0f after %.0f", v, *version)
 	case v == *version:
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -17,7 +17,7 @@
 	"chalkring/logic"
 )
 
-// owner owns the module. All but queue, asks and ctx is touched by its goroutine alone; fronts, replicas'
+// owner owns the module. All but queue, asks, moves, log and ctx is touched by its goroutine alone; fronts, replicas'
 // connections and discovery post closures to queue. It waits for nothing but that queue and its next wake,
 // so they may wait for it. The queue is bounded by queueRoom; while it is full, sockets are not read.
 type owner struct {
@@ -29,6 +29,7 @@
 	ctx    context.Context
 	queue  chan func()
 	asks   chan struct{} // subscriptions that the module asked for
+	moves  chan string   // where discovery is from now on
 
 	start    time.Time
 	base     int64 // Unix time of start in tenths of a millisecond
@@ -41,6 +42,7 @@
 	parts    map[uint64]*part
 	fleet    map[string]*replica
 	order    []*replica // with calls to go out at the end of the turn
+	sockets  int        // descriptors that the plan grants
 	lines    int        // connections to replicas
 	sentAt   int64      // the last turn with calls
 	listed   bool
--- /dev/null
+++ b/coordinator/reload.go
@@ -0,0 +1,89 @@
+package coordinator
+
+import (
+	"context"
+	"log"
+	"os"
+	"slices"
+	"strings"
+)
+
+// Reloads reads the plan again at each signal and hands it on, for Means.Plans. One that cannot be read or
+// lacks something changes nothing. The runtime's bounds follow a new plan at once.
+func Reloads(ctx context.Context, first *Plan, signals <-chan os.Signal, env func(string) string,
+	out *log.Logger) <-chan *Plan {
+	plans := make(chan *Plan)
+	go func() {
+		for last := first; ; {
+			select {
+			case <-signals:
+			case <-ctx.Done():
+				return
+			}
+			p, err := Read(env)
+			if err != nil {
+				out.Printf("event=reload_failed error=%q", err)
+				continue
+			}
+			// The variable holds over the file only while the file's own address is as it was at the start.
+			p.Discovery = last.Discovery
+			if p.inFile != last.inFile {
+				p.Discovery = p.inFile
+			}
+			p.Bound()
+			last = p
+			select {
+			case plans <- p:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return plans
+}
+
+// differs names what of a new plan has to wait for a restart.
+func (p *Plan) differs(next *Plan) string {
+	var names []string
+	for name, same := range map[string]bool{"name": p.Name == next.Name, "listen": p.Listen == next.Listen} {
+		if !same {
+			names = append(names, name)
+		}
+	}
+	for name, text := range next.facts {
+		if old, ok := p.facts[name]; !ok || old != text {
+			names = append(names, "settings."+name)
+		}
+	}
+	for name := range p.facts {
+		if _, ok := next.facts[name]; !ok {
+			names = append(names, "settings."+name)
+		}
+	}
+	slices.Sort(names)
+	if len(names) > differsMost {
+		names = append(names[:differsMost], "...")
+	}
+	return strings.Join(names, ",")
+}
+
+// reload takes new plans into force: where discovery is, and how many descriptors there are. The rest waits
+// for a restart: the module takes its settings once.
+func (f *front) reload(plans <-chan *Plan) error {
+	o := f.o
+	for {
+		select {
+		case p := <-plans:
+			o.log.Printf("event=reloaded discovery=%s sockets=%d waits_for_restart=%q", p.Discovery, p.Sockets,
+				o.plan.differs(p))
+			f.gate.resize(int(clientShare * float64(p.Sockets)))
+			o.post(func() { o.sockets = p.Sockets })
+			select {
+			case o.moves <- p.Discovery:
+			case <-o.ctx.Done():
+			}
+		case <-o.ctx.Done():
+			return nil
+		}
+	}
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -248,7 +248,7 @@
 			fullest = l
 		}
 	}
-	if float64(o.lines) < replicaShare*float64(o.plan.Sockets) {
+	if float64(o.lines) < replicaShare*float64(o.sockets) {
 		return o.dial(r)
 	}
 	o.log.often("no_descriptor", "event=no_descriptor side=replicas open=%d", o.lines)
--- a/coordinator/standins_test.go
+++ b/coordinator/standins_test.go
@@ -67,6 +67,16 @@
 
 func (w writes) Write(p []byte) (int, error) { return w.to.Write(p) }
 
+// writesMore writes more behind each message, in one piece with it.
+type writesMore struct {
+	net.Conn
+	more []byte
+}
+
+func (w writesMore) Write(p []byte) (int, error) {
+	return w.Conn.Write(append(append([]byte(nil), p...), w.more...))
+}
+
 // standReplica is a replica: do is called for each part, in a goroutine a connection.
 type standReplica struct {
 	id   string
@@ -160,6 +170,12 @@
 	calls   chan string // targets
 }
 
+func newList(t *testing.T) *standList {
+	d := &standList{ln: listen(t), answers: make(chan string, 16), calls: make(chan string, 64)}
+	go d.serve()
+	return d
+}
+
 func (d *standList) serve() {
 	for {
 		conn, err := d.ln.Accept()
@@ -193,6 +209,8 @@
 	t        *testing.T
 	replicas map[string]*standReplica
 	list     *standList
+	plans    chan *Plan
+	plan     *Plan
 	addr     string
 	stop     context.CancelFunc
 	ended    chan error
@@ -250,7 +268,7 @@
 // start sets up replicas a0 and a1 of cell 0, b0 and b1 of cell 1, and serves. edit changes the settings.
 func start(t *testing.T, sockets int, edit func(settings map[string]any)) *rig {
 	r := &rig{t: t, replicas: map[string]*standReplica{}, log: &journal{}, ended: make(chan error, 1),
-		list: &standList{ln: listen(t), answers: make(chan string, 16), calls: make(chan string, 64)}}
+		list: newList(t), plans: make(chan *Plan)}
 	var known []string
 	for _, id := range []string{"a0", "a1", "b0", "b1"} {
 		s := &standReplica{id: id, cell: int(id[0] - 'a'), ln: listen(t), do: asked.good}
@@ -258,7 +276,6 @@
 		known = append(known, r.entry(id, "up"))
 		go s.serve()
 	}
-	go r.list.serve()
 	settings := map[string]any{}
 	require.NoError(t, json.Unmarshal([]byte(testSettings), &settings))
 	if edit != nil {
@@ -271,10 +288,10 @@
 		"settings":%s}`, ln.Addr(), r.list.ln.Addr(), sockets, strings.Join(known, ","), text))
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	r.addr, r.stop = ln.Addr().String(), stop
+	r.addr, r.stop, r.plan = ln.Addr().String(), stop, p
 	go func() {
 		r.ended <- p.Serve(ctx, Means{Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
-			Log: log.New(r.log, "", 0)})
+			Log: log.New(r.log, "", 0), Plans: r.plans})
 	}()
 	t.Cleanup(stop)
 	return r
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -49,6 +49,7 @@
 	logRoom      = 1024                    // lines waiting for the log: a burst of some for each connection
 	logEach      = time.Second             // between two lines on one thing that strangers can repeat at will
 	frameTime    = time.Second             // from a frame's first byte to its last: answers fit a few packets
+	differsMost  = 8                       // names of settings in a log line
 	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
@@ -61,9 +62,10 @@
 	Sockets, MemoryMB       int
 	Cores                   float64
 
-	seed  int64
-	facts map[string]string
-	known map[string]any
+	inFile string // discovery, as the file has it
+	seed   int64
+	facts  map[string]string
+	known  map[string]any
 }
 
 // Clock tells the time and wakes.
@@ -84,6 +86,7 @@
 	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	Clock    Clock
 	Log      *log.Logger
+	Plans    <-chan *Plan // that follow the first, as Reloads hands them on; may be nil
 }
 
 // Read takes the plan from the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY, where set,
@@ -120,6 +123,7 @@
 		return nil, err
 	}
 	p := &Plan{Name: word(all["name"]), Listen: word(all["listen"]), Discovery: word(all["discovery"])}
+	p.inFile = p.Discovery
 	seed, err := strconv.ParseUint(word(all["seed"]), 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed %q is not 16 hex digits", word(all["seed"]))
@@ -302,9 +306,9 @@
 	defer stop()
 	o := &owner{plan: p, Means: m, log: newNotes(m.Clock), g: g, ctx: work, queue: make(chan func(), queueRoom),
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{},
-		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), clients: map[*link]bool{}}
+		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets, clients: map[*link]bool{}}
 	o.base = o.start.UnixMicro() / 100
-	f := &front{o: o, classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
+	f := &front{o: o, gate: newGate(int(clientShare * float64(p.Sockets))), classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
 	o.module = logic.New(o)
 	if err := o.begin(); err != nil {
 		m.Listener.Close()
@@ -314,6 +318,7 @@
 	g.Go(o.run)
 	g.Go(f.accept)
 	g.Go(o.follow)
+	g.Go(func() error { return f.reload(m.Plans) })
 	g.Go(func() error { return o.windUp(ctx, stop) })
 	o.log.Printf("event=serving name=%s listen=%s discovery=%s sockets=%d memory_mb=%d cores=%g", p.Name,
 		m.Listener.Addr(), p.Discovery, p.Sockets, p.MemoryMB, p.Cores)
