A lost connection is a strike; only connects that fail in a row show a restart

The module's state each half second: queue of 30, parts that no replica may take, and 3 to 7 replicas marked down, none of which had died. No ConnectError came, only ResetByPeer: answers lost with their connections, kept connections reset at the next request. Ruled out: the cap (12 to 48 slots, hardly used), the list (no change, or two replicas), handshakes (no connect failed but one).

A lost connection now counts as an error does: three in a row without an answer make a suspect, as a crash gives at once where parts were out. A failed connect still does at the first; two in a row show a restart.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,15 +33,16 @@
 	leastAll   = 3.0  // parts a replica that the least caps of all together allow: they keep it busy
 	strain     = 0.8  // ease under which the cap comes down to own parts in flight: above them it limits nothing
 
-	priorParts = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
-	awayRatio  = 1.6    // answer time of a zone over the quickest's that makes its way slow: load seldom does
-	quietRatio = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
-	quietLeast = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
-	quietTries = 2      // parts unanswered meanwhile: a single one may simply be heavy
-	strikeOut  = 3      // errors or refusals in a row that make a suspect: single ones come on good days
-	lostMost   = 2      // dropped connections, and no answer yet, that make a search suspect: one may be chance
-	trialEach  = 3_000  // least wait between trials of any: among hundreds down each part would be one
-	trialWait  = 10_000 // wait before a suspect gets a trial part: a second is a short outage
+	priorParts  = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
+	awayRatio   = 1.6    // answer time of a zone over the quickest's that makes its way slow: load seldom does
+	quietRatio  = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
+	quietLeast  = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
+	quietTries  = 2      // parts unanswered meanwhile: a single one may simply be heavy
+	restartSign = 2      // connects failed in a row that show a restart: one may be a connection lost under a part
+	strikeOut   = 3      // errors or refusals in a row that make a suspect: single ones come on good days
+	lostMost    = 2      // dropped connections, and no answer yet, that make a search suspect: one may be chance
+	trialEach   = 3_000  // least wait between trials of any: among hundreds down each part would be one
+	trialWait   = 10_000 // wait before a suspect gets a trial part: a second is a short outage
 
 	copyRatio  = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
 	aloneRatio = 2     // times that age: a part's time-out where no copy may run beside it
@@ -106,7 +107,7 @@
 			c.fleet[id] = r
 			c.list = append(c.list, r)
 		} else if since > r.since {
-			r.since, r.pace, r.past, r.quiet, r.strikes, r.down = since, sum{}, sum{}, 0, 0, false
+			r.since, r.pace, r.past, r.quiet, r.strikes, r.refused = since, sum{}, sum{}, 0, 0, 0
 			r.credit, r.creditAt = c.chance.Float64(), c.now
 		}
 		r.cell, r.zone, r.open = cell, zone, status == "healthy"
@@ -451,7 +452,7 @@
 func (c *coordinator) silence() float64 { return max(quietLeast, quietRatio*c.common()) }
 
 func (c *coordinator) suspect(r *replica) bool {
-	if r.down || r.strikes >= strikeOut {
+	if r.refused > 0 || r.strikes >= strikeOut {
 		return true
 	}
 	return r.quiet >= quietTries && float64(c.now-r.quietSince) > c.silence()
@@ -614,10 +615,10 @@
 	pace := math.Log(float64(max(1, wait)))
 	switch ending {
 	case "Ok":
-		if r.down && c.warm(r) {
+		if r.refused >= restartSign && c.warm(r) {
 			r.since, r.credit, r.creditAt = c.now, c.chance.Float64(), c.now // back before the list says so
 		}
-		t.maybe, r.strikes, r.down = true, 0, false
+		t.maybe, r.strikes, r.refused = true, 0, 0
 		r.quiet, r.quietSince = len(r.tries), c.now
 		r.took(c.now, pace)
 		c.ways[r.zone].pace.add(c.now, paceSpan, pace)
@@ -644,11 +645,10 @@
 	case "Failed", "QueueFull":
 		t.maybe = ending == "Failed"
 		r.strikes++
-	case "ConnectError", "ResetByPeer":
-		r.down = true
-		if t.maybe = ending == "ResetByPeer"; t.maybe {
-			s.lost++
-		}
+	case "ConnectError":
+		r.refused++
+	case "ResetByPeer": // guards against a connection or an answer that is lost: its replica has not died for that
+		t.maybe, r.strikes, s.lost = true, r.strikes+1, s.lost+1
 	}
 	if c.suspect(r) && r.trialAt <= c.now {
 		r.trialAt = c.now + trialWait
--- a/logic/state.go
+++ b/logic/state.go
@@ -130,7 +130,7 @@
 	quietSince int64
 	quiet      int // parts unanswered since quietSince
 	strikes    int
-	down       bool
+	refused    int // connects that failed since its last answer
 	trialAt    int64
 	credit     float64
 	creditAt   int64
