A silent connection takes no more parts, and ends once its replica answers on another

The parts all went over the one silent connection: lineFor took any with room, and only a part given up after 0.5 s ended it.

Now a connection under a part without a word for 100 ms, or four usual answers, is passed over for the next call, at most two of a replica; one silent for twice the time to connect is ended once the replica has answered a later part elsewhere, and its parts are told as called off. A frame has 300 ms to come to its end. The numbers of three settings are read once. Ruled out: CPU (0.17 of 0.28 s), descriptors (89 of 1,024).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -400,6 +400,33 @@
 	require.Equal(t, garbled, <-heard)
 }
 
+// A connection that falls silent takes no more parts, and is ended once its replica answers on another: what it
+// swallowed goes out again.
+func TestSilentConnection(t *testing.T) {
+	r := start(t, 256, func(s map[string]any) { s["Permissions"].(map[string]any)["DialTimeout"] = 100 })
+	r.list.answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry("a1", "draining"))
+	r.logged("how=Partial")
+	c, d := r.call(), r.call()
+	c.want("first", "all", 200, wholeOfAll)
+	var dead atomic.Value // the connection
+	r.replicas["a0"].set(func(a asked) {
+		if dead.CompareAndSwap(nil, a.conn) || dead.Load() == a.conn {
+			return
+		}
+		a.good()
+	})
+	c.send(request("swallowed", "all", "", fourParts))
+	r.eventually("it is out", func() bool { return dead.Load() != nil })
+	for i := range 5 {
+		time.Sleep(120 * time.Millisecond) // over doubtLeast
+		d.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+	}
+	status, _, text, _ := c.answer()
+	require.Equal(t, 200, status)
+	require.JSONEq(t, wholeOfAll, text)
+	r.end()
+}
+
 // A search that fells replicas is given up while more of its parts are out on the connection that ended.
 func TestSearchThatFells(t *testing.T) {
 	r := start(t, 256, nil)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -74,7 +74,7 @@
 	p.untold++
 	early := ""
 	switch {
-	case float64(sub.leg) >= o.plan.fact("Permissions.MaxAttempts") || p.over():
+	case sub.leg >= o.maxAttempts || p.over():
 		early = "Ignored"
 	case timeout <= 0:
 		early = "TimedOut"
@@ -86,7 +86,7 @@
 		return
 	}
 	var c *call
-	if n := len(r.calls); n > 0 && float64(len(r.calls[n-1].subs)) < o.plan.fact("Specifics.PerCall") &&
+	if n := len(r.calls); n > 0 && len(r.calls[n-1].subs) < o.perCall &&
 		find(r.calls[n-1].subs, sub.name) == nil {
 		c = r.calls[n-1]
 	} else {
@@ -121,8 +121,7 @@
 	}
 	// Guards against a machine that went silent: its open connection would swallow part after part. One new
 	// connection tells more than the old one: it comes up or does not.
-	if l != nil && l.heard < sub.sent &&
-		o.now-sub.sent > silentDials*int64(o.plan.span("Permissions.DialTimeout")/tenth) {
+	if l != nil && l.heard < sub.sent && o.now-sub.sent > o.silence() {
 		o.retire(l)
 	}
 	o.later(func() { o.landed(sub, outcome, nil) })
@@ -237,11 +236,18 @@
 // there; nil where neither is. Guards against a lack of our own that is told as a replica's fault.
 func (o *owner) lineFor(r *replica, c *call) *line {
 	var fullest *line
+	doubted := 0
 	for _, l := range r.lines {
 		if l.shut || l.has(c) {
 			continue
 		}
-		if float64(l.calls) < o.plan.fact("Permissions.StreamsPerConn") {
+		// Guards against one connection that has gone silent: it would swallow part after part of a replica that
+		// is sound. The next call takes another; a replica that is silent on all is the module's to find.
+		doubt := l.unheard(o.now) > o.doubtAfter() && doubted < doubtMost
+		if doubt {
+			doubted++
+		}
+		if !doubt && l.calls < o.streams {
 			return l
 		}
 		if fullest == nil || l.calls < fullest.calls {
@@ -268,6 +274,19 @@
 	return fullest
 }
 
+// unheard tells how long the oldest part has been out on the connection of those since which nothing was heard.
+func (l *line) unheard(now int64) (age int64) {
+	for _, sub := range l.subs {
+		if l.heard < sub.sent {
+			age = max(age, now-sub.sent)
+		}
+	}
+	return age
+}
+
+// doubtAfter is how long a connection may say nothing under a part before the next call takes another.
+func (o *owner) doubtAfter() int64 { return max(doubtLeast, int64(doubtTimes*o.usual)) }
+
 // has tells whether one of a call's ids is out on the connection already, or was for another search.
 // Guards against two searches that bear one name: the answer to one would be taken for the other's.
 func (l *line) has(c *call) bool {
@@ -375,12 +394,31 @@
 		return
 	}
 	o.leave(sub)
+	o.usual += (float64(o.now-sub.sent) - o.usual) / usualCount
+	o.hush(l, sub.sent)
 	if p := sub.p; outcome == "Ok" && !p.over() {
 		p.in, p.score, p.value = true, score, value
 	}
 	o.landed(sub, outcome, report)
 }
 
+// hush ends connections that have long been silent under parts, once their replica has answered a later part on
+// another: it is the connection that is lost, and its parts can go out again.
+func (o *owner) hush(heard *line, sent int64) {
+	for _, l := range slices.Clone(heard.r.lines) {
+		age := l.unheard(o.now)
+		if l != heard && !l.shut && o.now-age < sent && age > max(o.silence(), o.doubtAfter()) {
+			l.shut = true
+			l.end(retired)
+		}
+	}
+}
+
+// silence is how long a connection may say nothing before it is taken for lost.
+func (o *owner) silence() int64 {
+	return silentDials * int64(o.plan.span("Permissions.DialTimeout")/tenth)
+}
+
 // ended tells what a connection's end means for the parts that were out on it.
 func (o *owner) ended(l *line, end ending, addr string) {
 	l.shut = true
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -48,7 +48,11 @@
 	lingerMost   = 256 << 10               // bytes read meanwhile: four of the longest bodies; more is cut off
 	logRoom      = 1024                    // lines waiting for the log: a burst of some for each connection
 	logEach      = time.Second             // between two lines on one thing that strangers can repeat at will
-	frameTime    = time.Second             // from a frame's first byte to its last: answers fit a few packets
+	frameTime    = 300 * time.Millisecond  // from a frame's first byte to its last: answers fit a few packets
+	doubtLeast   = 1000                    // tenths of a millisecond under a part without a word on its connection,
+	doubtTimes   = 4.0                     // or so many times the usual answer: the next call takes another
+	usualCount   = 100.0                   // answers that the usual answer's time rests on
+	doubtMost    = 2                       // connections to a replica passed over for that: a silent replica gets no more
 	differsMost  = 8                       // names of settings in a log line
 	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
@@ -306,7 +310,9 @@
 	defer stop()
 	o := &owner{plan: p, Means: m, log: newNotes(m.Clock), g: g, ctx: work, queue: make(chan func(), queueRoom),
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{},
-		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets, clients: map[*link]bool{}}
+		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
+		streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
+		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{}}
 	o.base = o.start.UnixMicro() / 100
 	f := &front{o: o, gate: newGate(int(clientShare * float64(p.Sockets))), classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
 	o.module = logic.New(o)
