Calls for list changes wait 2 s, a second for each co-ordinator, so that silence shows

The log held no list but the one from the plan: the connection to discovery had fallen silent, and at fault was the watch of 20 s with 2 s more before a call counts as failed. Ruled out: the module (it told suspects from sound ones; the only listed holder of a shard was gone), handshakes, CPU.

A call now waits 2 s, or a second for each co-ordinator where there are more, up to 20 s, so that all together ask once a second; it has failed a second later.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -556,12 +556,12 @@
 // for again.
 func TestListChanges(t *testing.T) {
 	r := start(t, 256, nil)
-	require.Equal(t, "/v1/servers?index=7&wait=20000", <-r.list.calls)
+	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.calls)
 	said := func(version int, full bool, entries ...string) {
 		r.list.answers <- fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(entries, ","))
 	}
 	said(8, false, r.entry("a0", "draining"), r.entry("b1", "removed"))
-	require.Equal(t, "/v1/servers?index=8&wait=20000", <-r.list.calls)
+	require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.calls)
 	r.logged("how=Partial version=8")
 	c := r.call()
 	for i := range 10 {
@@ -581,7 +581,7 @@
 		`{"version":9`, `{"version":6,"full":true,"servers":[]}`, `{"version":8,"full":false,"servers":[]}`,
 		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 nonsense\r\n\r\n", ""} {
 		r.list.answers <- bad
-		require.Equal(t, "/v1/servers?index=8&wait=20000", <-r.list.calls, bad)
+		require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.calls, bad)
 	}
 	c.want("still", "all", 200, wholeOfAll)
 	require.Equal(t, 8, strings.Count(r.log.String(), "event=list_failed"))
@@ -603,10 +603,25 @@
 	list.answers <- `{"version":0,"full":true,"servers":[]}`
 	version := 0.0
 	require.ErrorContains(t, o.watch(o.ctx, o.plan.Discovery, false, &version), "nothing new")
-	require.Equal(t, "/v1/servers?index=0&wait=20000", <-list.calls)
+	require.Equal(t, "/v1/servers?index=0&wait=2000", <-list.calls)
 	close(list.answers)
 }
 
+// Discovery that says nothing is asked again within seconds; many co-ordinators ask more seldom.
+func TestSilentDiscovery(t *testing.T) {
+	t.Parallel()
+	r := start(t, 256, nil)
+	<-r.list.calls
+	began := time.Now()
+	<-r.list.calls
+	require.Less(t, time.Since(began), 4*time.Second+patience/2)
+	require.Contains(t, r.log.String(), "event=list_failed")
+	for n, want := range map[string]time.Duration{"1": 2, "3": 3, "150": 20} {
+		o := &owner{plan: &Plan{facts: map[string]string{"Balancers": n}}}
+		require.Equal(t, want*time.Second, o.watchWait())
+	}
+}
+
 // Where the list comes by itself, calls are made without the module asking, and go on after failures.
 func TestListByItself(t *testing.T) {
 	r := start(t, 256, func(s map[string]any) { s["Discovery"] = "automatic" })
@@ -622,7 +637,7 @@
 // are asked again there. Searches go on.
 func TestNewPlan(t *testing.T) {
 	r := start(t, 256, nil)
-	require.Equal(t, "/v1/servers?index=7&wait=20000", <-r.list.calls)
+	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.calls)
 	next := newList(t)
 	p := *r.plan
 	p.Discovery, p.Sockets = next.ln.Addr().String(), 16
@@ -630,7 +645,7 @@
 	require.Equal(t, "/v1/servers", <-next.calls)
 	next.answers <- fmt.Sprintf(`{"version":3,"full":true,"servers":[%s,%s,%s]}`, r.entry("a0", "draining"),
 		r.entry("a1", "up"), r.entry("b0", "up"))
-	require.Equal(t, "/v1/servers?index=3&wait=20000", <-next.calls)
+	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.calls)
 	r.logged("how=Complete version=3 entries=3")
 	c := r.call()
 	c.want("q", "all", 200, wholeOfAll)
@@ -643,7 +658,7 @@
 	}
 	r.logged("end=displaced")
 	next.answers <- "" // fails: the module asks again, at the same place
-	require.Equal(t, "/v1/servers?index=3&wait=20000", <-next.calls)
+	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.calls)
 	require.Empty(t, r.list.calls)
 	r.end()
 }
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -123,8 +123,15 @@
 	}
 }
 
+// watchWait is how long one call for changes may wait. Guards against a connection to discovery that has gone
+// silent: nothing is told until the call has failed. All co-ordinators together ask discovery so often.
+func (o *owner) watchWait() time.Duration {
+	return min(watchMost, max(2*watchEach, time.Duration(o.plan.fact("Balancers")*float64(watchEach))))
+}
+
 // watch makes one call after another, until one fails; with anew, the first is for the whole list.
 func (o *owner) watch(ctx context.Context, at string, anew bool, version *float64) error {
+	wait := o.watchWait()
 	for {
 		up, stop := context.WithTimeout(ctx, watchSlack)
 		conn, err := o.Dial(up, "tcp", at)
@@ -136,12 +143,12 @@
 		buf := lend()
 		rd := http1.NewReader(conn, (*buf)[:bufferSize])
 		for keep := true; keep && err == nil; anew = false {
-			target := fmt.Sprintf("/v1/servers?index=%.0f&wait=%d", *version, watchWait.Milliseconds())
+			target := fmt.Sprintf("/v1/servers?index=%.0f&wait=%d", *version, wait.Milliseconds())
 			if anew {
 				target = "/v1/servers"
 			}
 			asked, before := time.Now(), *version
-			conn.SetDeadline(asked.Add(watchWait + watchSlack))
+			conn.SetDeadline(asked.Add(wait + watchSlack))
 			if _, err = conn.Write(http1.AppendGet(nil, target, at)); err != nil {
 				break
 			}
@@ -153,7 +160,7 @@
 			if err == nil {
 				err = o.heardList(body, anew, version)
 			}
-			if err == nil && !anew && *version == before && time.Since(asked) < watchWait/2 {
+			if err == nil && !anew && *version == before && time.Since(asked) < wait/2 {
 				err = errors.New("nothing new, and no wait") // guards against asking without end
 			}
 		}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -39,8 +39,9 @@
 	takeOn       = 500 * time.Millisecond  // requests still come after a stop: the platform's 0.4 s and a little
 	acceptPause  = 100 * time.Millisecond  // before accepting again with no descriptor left: some will be free
 	longWait     = time.Hour               // longest client timeout that is believed: bounds what is held
-	watchWait    = 20 * time.Second        // of one call for changes: few empty answers, and a dead way shows
-	watchSlack   = 2 * time.Second         // an answer later than that after the wait will not come
+	watchEach    = time.Second             // between calls for changes of all co-ordinators: bounds what discovery does
+	watchMost    = 20 * time.Second        // of one call for changes: a dead way shows
+	watchSlack   = time.Second             // an answer later than that after the wait will not come
 	askPause     = 500 * time.Millisecond  // first wait before a list that comes by itself is asked for again
 	askPauseMost = 8 * time.Second         // longest such wait: within the time of common rules
 	lastLook     = 20 * time.Millisecond   // for a request that came as the stop's wait ended: it is there already
