What was not written on a connection that had worked is never sent, not a failed connect

Of the two holders of one shard one was a suspect after three lost connections, the other cold without a restart, so that all searches of that shard stood aside. At fault: frames not yet written when a connection breaks were told as ConnectError, two of which show a restart.

--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -41,16 +41,19 @@
 func (e ending) Error() string { return endingWords[e] }
 
 // outcome is the one place where ends of connections become the module's words. What the other side ended: a
-// part whose frame was never on it whole could not connect, any other was reset. What this side ended: a part
+// part whose frame was never on it whole could not connect, any other was reset; but on a connection that had
+// proved to work the first was just never sent, since no connect had failed. What this side ended: a part
 // was never sent, or was called off, and may have run; the replica is not down for that. Guards against a
 // spoilt answer that stands for a crash. But whoever spoils an answer has failed one part, the first.
-func (e ending) outcome(written, first bool) string {
+func (e ending) outcome(written, first, worked bool) string {
 	switch e {
 	case notUp, peerLeft, broken, stuck:
 		if written {
 			return "ResetByPeer"
 		}
-		return "ConnectError"
+		if !worked {
+			return "ConnectError"
+		}
 	case slow, garbled, complained:
 		if written && first {
 			return "Failed"
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -544,7 +544,9 @@
 		want[e] = [3]string{"Ignored", "Canceled", "Canceled"}
 	}
 	for e := notUp; e <= closing; e++ {
-		require.Equal(t, want[e], [3]string{e.outcome(false, true), e.outcome(true, true), e.outcome(true, false)}, e.Error())
+		require.Equal(t, want[e], [3]string{e.outcome(false, true, false), e.outcome(true, true, false), e.outcome(true, false, false)},
+			e.Error())
+		require.Equal(t, "Ignored", e.outcome(false, true, true), "it had worked: %s", e)
 		require.NotEmpty(t, e.Error())
 	}
 	require.Equal(t, starved, endingOf(&net.OpError{Err: os.NewSyscallError("socket", syscall.EMFILE)}))
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -192,7 +192,7 @@
 			if l == nil {
 				for _, sub := range slices.Clone(c.subs) {
 					o.leave(sub)
-					o.later(func() { o.landed(sub, starved.outcome(false, false), nil) })
+					o.later(func() { o.landed(sub, starved.outcome(false, false, false), nil) })
 				}
 				continue
 			}
@@ -433,7 +433,7 @@
 	// call off others that were on this connection, whose end has come too.
 	var tell []func()
 	for i, sub := range slices.Clone(l.subs) {
-		outcome := end.outcome(sub.call.parcel.stage.Load() == written, i == 0)
+		outcome := end.outcome(sub.call.parcel.stage.Load() == written, i == 0, l.heard > 0)
 		o.leave(sub)
 		tell = append(tell, func() { o.landed(sub, outcome, nil) })
 	}
