A replica whose parts are all silent takes one more, so that a lost connection shows

So no part went over a fresh connection, which would have shown that the replicas were sound. Now one part more may go when the youngest of a replica's parts has been silent for as long as makes a suspect.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	quietRatio  = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
 	quietLeast  = 4_000  // shortest silence that counts: pauses of a few 100 ms are no fault
 	quietTries  = 2      // parts unanswered meanwhile: a single one may simply be heavy
-	restartSign = 2      // connects failed in a row that show a restart: one may be a connection lost under a part
+	restartSign = 2      // connects failed in a row that show a restart: one may be chance
 	strikeOut   = 3      // errors or refusals in a row that make a suspect: single ones come on good days
 	lostMost    = 2      // dropped connections, and no answer yet, that make a search suspect: one may be chance
 	trialEach   = 3_000  // least wait between trials of any: among hundreds down each part would be one
@@ -356,7 +356,8 @@
 	for _, r := range c.holders(p.shard) {
 		bad := c.suspect(r)
 		sound = sound || !bad
-		if !c.room(r) || !c.coldRoom(r) {
+		out := func(t *try) bool { return t.r == r && !t.settled }
+		if !c.room(r) || !c.coldRoom(r) || slices.ContainsFunc(p.tries, out) {
 			continue
 		}
 		load := float64(r.calls)
@@ -373,9 +374,6 @@
 		} else if c.away(r.zone) && (c.now < c.ways[r.zone].trialAt || p.s.need >= p.s.most-1e-4) {
 			load += 1e5 // but for a trial part where a search has one to spare
 		}
-		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r && !t.settled }) {
-			continue
-		}
 		if slices.ContainsFunc(p.tries, func(t *try) bool { return t.r == r }) {
 			load += 1e4
 		}
@@ -398,11 +396,13 @@
 }
 
 // room guards against piling up on the one sound holder of a shard: a replica's own part of the slots
-// shrinks with its answers as the cap does with all answers. Parts beyond it stand aside, as do searches
-// that need them.
+// shrinks with its answers as the cap does with all answers. Parts beyond it stand aside, as do searches that
+// need them. With all its parts silent one more may go: it shows whether it is slow or a connection was lost.
 func (c *coordinator) room(r *replica) bool {
 	share := min(1, slackRatio*c.shortest()/(c.common()*c.slowness(r)))
-	return float64(len(r.tries)) < max(1, oneReplica*slotsPerReplica*share)
+	n := len(r.tries)
+	return float64(n) < max(1, oneReplica*slotsPerReplica*share) ||
+		float64(c.now-r.tries[n-1].sent) > c.silence()
 }
 
 // thin tells whether a replica answers this co-ordinator so seldom that own parts out and the start's cap say
@@ -647,7 +647,7 @@
 		r.strikes++
 	case "ConnectError":
 		r.refused++
-	case "ResetByPeer": // guards against a connection or an answer that is lost: its replica has not died for that
+	case "ResetByPeer": // guards against lost connections: their replica has not died for that
 		t.maybe, r.strikes, s.lost = true, r.strikes+1, s.lost+1
 	}
 	if c.suspect(r) && r.trialAt <= c.now {
