Nothing is sent after the answer, a frame begun included; replicas that left are forgotten

Now the deadline is set before a frame is begun, and an answer that meets one begun ends that connection; its other parts are told as called off.

The module forgets replicas that have left the list (ids are new each time), and text that reading has changed, or that is no UTF-8, is refused at the edge, since replicas get it unchanged or not at all.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"encoding/json"
@@ -14,6 +15,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"chalkring/internal/http1"
 )
@@ -339,6 +341,10 @@
 	if len(list) == 0 || !ok {
 		return refuse("body without ranges or predicate")
 	}
+	// Guards against text that reading has changed: replicas get it as it came or not at all.
+	if !utf8.Valid(body) || strings.ContainsRune(text, utf8.RuneError) && !bytes.ContainsRune(body, utf8.RuneError) {
+		return refuse("body is no text")
+	}
 	s.text = []byte(text)
 	seen, sum := map[int]bool{}, 0.0
 	for _, item := range list {
@@ -347,10 +353,10 @@
 		weight, ok2 := amount(m["portion"])
 		n := int(shard)
 		if !ok1 || shard != math.Trunc(shard) || n < 0 || n >= shards || seen[n] {
-			return refuse("range %v", m["range"])
+			return refuse("range %.40q", fmt.Sprint(m["range"]))
 		}
 		if !ok2 || weight <= 0 || weight > 1+weightSlack {
-			return refuse("portion %v", m["portion"])
+			return refuse("portion %.40q", fmt.Sprint(m["portion"]))
 		}
 		seen[n], sum = true, sum+weight
 		s.shards, s.weights = append(s.shards, n), append(s.weights, weight)
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -153,11 +153,11 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			case p := <-l.backlog:
-				if !p.stage.CompareAndSwap(queued, begun) {
+				conn.SetWriteDeadline(time.Now().Add(stall))
+				if !p.stage.CompareAndSwap(queued, begun) { // next to the write: what was begun may be out
 					giveBack(p.b)
 					continue
 				}
-				conn.SetWriteDeadline(time.Now().Add(stall))
 				if _, err := conn.Write(*p.b); err != nil {
 					return stuck
 				}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -112,25 +112,27 @@
 		"POST /all HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n":       413,
 		"POST /all HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n": 501,
 	}, true: { // these can be read: the next request can be told from them
-		swap("X-Class: all", "X-Class: none"):         400,
-		swap("X-Class: all", "X-Class: some"):         400,
-		swap("X-Tenant: acme", "X-Tenant: nobody"):    400,
-		swap("X-Tenant: acme\r\n", ""):                400,
-		swap("X-Request-Id: id", "X-Request-Id: a b"): 400,
-		swap("X-Request-Id: id\r\n", ""):              400,
-		swap("X-Deadline: 8.000\r\n", ""):             400,
-		swap("8.000", "soon"):                         400,
-		swap("8.000", "0"):                            400,
-		swap("8.000", "-1"):                           400,
-		swap("8.000", "NaN"):                          400,
-		swap("8.000", "1e3"):                          400,
-		"GET /all HTTP/1.1\r\nHost: x\r\n\r\n":        405,
-		"GET /other HTTP/1.1\r\nHost: x\r\n\r\n":      404,
-		"PUT /healthz HTTP/1.1\r\nHost: x\r\n\r\n":    405,
-		body(`{"ranges":`):                            400,
-		body(`[]`):                                    400,
-		body(fourParts + "}"):                         400,
-		body(`{"ranges":[{"range":0,"portion":1}]}`):  400,
+		swap("X-Class: all", "X-Class: none"):                    400,
+		swap("X-Class: all", "X-Class: some"):                    400,
+		swap("X-Tenant: acme", "X-Tenant: nobody"):               400,
+		swap("X-Tenant: acme\r\n", ""):                           400,
+		swap("X-Request-Id: id", "X-Request-Id: a b"):            400,
+		swap("X-Request-Id: id\r\n", ""):                         400,
+		swap("X-Deadline: 8.000\r\n", ""):                        400,
+		swap("8.000", "soon"):                                    400,
+		swap("8.000", "0"):                                       400,
+		swap("8.000", "-1"):                                      400,
+		swap("8.000", "NaN"):                                     400,
+		swap("8.000", "1e3"):                                     400,
+		"GET /all HTTP/1.1\r\nHost: x\r\n\r\n":                   405,
+		"GET /other HTTP/1.1\r\nHost: x\r\n\r\n":                 404,
+		"PUT /healthz HTTP/1.1\r\nHost: x\r\n\r\n":               405,
+		body(`{"ranges":`):                                       400,
+		body(`[]`):                                               400,
+		body(fourParts + "}"):                                    400,
+		body(`{"ranges":[{"range":0,"portion":1}]}`):             400,
+		body(strings.Replace(fourParts, "what", "wh\xfft", 1)):   400,
+		body(strings.Replace(fourParts, "what", `wh\ud800t`, 1)): 400,
 		ranges(``):                                                     400,
 		ranges(`{"range":4,"portion":1}`):                              400,
 		ranges(`{"range":-1,"portion":1}`):                             400,
@@ -768,6 +770,22 @@
 	require.Equal(t, crowded, context.Cause(l.ctx))
 }
 
+// A final answer ends a connection on which a frame of its search is begun and not out; one that is out stays.
+func TestNothingAfterTheAnswer(t *testing.T) {
+	for stage, ends := range map[int32]bool{begun: true, written: false} {
+		o := &owner{searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}}
+		l := &line{link: newLink(context.Background(), 1), r: &replica{id: "a0"}, calls: 1}
+		s := &search{id: 1, name: "q"}
+		p := &part{id: 2, s: s, untold: 1}
+		sub := &subRequest{p: p, name: "q.0", call: &call{line: l, parcel: &parcel{}}}
+		sub.call.subs, l.subs, p.subs, s.parts = []*subRequest{sub}, []*subRequest{sub}, []*subRequest{sub}, []*part{p}
+		sub.call.parcel.stage.Store(stage)
+		o.finish(s)
+		require.Equal(t, ends, l.ctx.Err() != nil, "stage %d", stage)
+		require.Equal(t, ends, l.shut)
+	}
+}
+
 // The module hears the same names and texts from the plan as from the simulator's wire.
 func TestSettingsAsOnTheWire(t *testing.T) {
 	p, err := Parse([]byte(`{"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":64,"sockets":99},
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -283,8 +283,16 @@
 	delete(o.names, s.name)
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
-			if sub.call != nil && o.takeBack(sub) { // nothing is sent after the final answer
+			if sub.call == nil {
+				continue
+			}
+			// Nothing is sent after the final answer. Guards against a frame that is begun and not out: the rest of
+			// it would follow, so its connection ends.
+			if l := sub.call.line; o.takeBack(sub) {
 				o.later(func() { o.landed(sub, "Ignored", nil) })
+			} else if sub.call.parcel.stage.Load() == begun {
+				l.shut = true
+				l.end(retired)
 			}
 		}
 		o.drop(p)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -128,17 +128,17 @@
 		return
 	}
 	c.askWait = askFirst
-	keep := map[string]bool{}
+	has := map[string]bool{}
 	for _, enter := range entries {
-		enter(keep)
+		enter(has)
 	}
-	c.listed = 0
+	c.list = slices.DeleteFunc(c.list, func(r *replica) bool { return !r.open || how != "Partial" && !has[r.id] })
 	clear(c.holding)
+	clear(c.fleet) // guards against growth: a replica that has left comes back as another
 	for _, r := range c.list {
-		if r.open = r.open && (how == "Partial" || keep[r.id]); r.open {
-			c.listed++
-		}
+		c.fleet[r.id] = r
 	}
+	c.listed = len(c.list)
 }
 
 // holders are the replicas that hold a shard and may be used.
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -255,3 +255,23 @@
 		})
 	}
 }
+
+// Replicas that have left are forgotten, told of one by one or by a whole list.
+func TestReplicasThatLeave(t *testing.T) {
+	c := New(nil).(*coordinator)
+	c.Start(1, map[string]string{"Specifics.Sets": "1", "Specifics.Reach": "1"})
+	for i := range 100 {
+		c.Clock(int64(i + 1))
+		id := func(n int) string { return fmt.Sprint("r", n) }
+		c.Entry(id(2*i), 0, 0, 0, "healthy", 1, 0)
+		c.Entry(id(2*i+1), 0, 0, 0, "healthy", 1, 0)
+		c.Entry(id(2*i-2), 0, 0, 0, "deregistered", 1, 0)
+		c.ListDone("Partial", int64(i))
+		require.LessOrEqual(t, len(c.list), 3)
+		c.Entry(id(2*i), 0, 0, 0, "healthy", 1, 0)
+		c.ListDone("Complete", int64(i))
+		require.Len(t, c.list, 1)
+		require.Len(t, c.fleet, 1)
+		require.Equal(t, 1, c.listed)
+	}
+}
