With less time left than the quickest answers take, nothing more is sent

A search with less than the 25 ms kept before its client's limit was sent and given up a tenth of a millisecond later, and a part may be sent again just before its search ends: frame and final answer cross. Now pick names no replica when less time is left than the quickest mean of answers; such a search is shed on arrival.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -128,13 +128,13 @@
 		return
 	}
 	c.askWait = askFirst
-	has := map[string]bool{}
+	in := map[string]bool{}
 	for _, enter := range entries {
-		enter(has)
+		enter(in)
 	}
-	c.list = slices.DeleteFunc(c.list, func(r *replica) bool { return !r.open || how != "Partial" && !has[r.id] })
+	c.list = slices.DeleteFunc(c.list, func(r *replica) bool { return !r.open || !in[r.id] && how != "Partial" })
 	clear(c.holding)
-	clear(c.fleet) // guards against growth: a replica that has left comes back as another
+	clear(c.fleet) // guards against growth: a replica that in left comes back as another
 	for _, r := range c.list {
 		c.fleet[r.id] = r
 	}
@@ -348,7 +348,7 @@
 // pick chooses a part's replica: fewest own calls out, one not tried yet if there is; ties by chance, or by
 // past answers where evidence is thin.
 func (c *coordinator) pick(p *part) *replica {
-	if c.full[p.shard] {
+	if c.full[p.shard] || float64(p.s.due-c.now) < c.best { // no answer could come: nothing crosses a final one
 		return nil
 	}
 	var best *replica
