--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -64,8 +64,8 @@
 	if front == nil {
 		return false
 	}
-	c := g.resting.Remove(front).(*client)
-	c.place = nil
+	c := front.Value.(*client)
+	g.lift(c)
 	c.end(displaced)
 	return true
 }
@@ -74,6 +74,11 @@
 func (g *gate) begin(c *client) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.lift(c)
+}
+
+// lift takes a connection off the list; false if it is not there.
+func (g *gate) lift(c *client) bool {
 	if c.place == nil {
 		return false
 	}
@@ -86,9 +91,7 @@
 func (g *gate) rest(c *client, last bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.place != nil {
-		g.resting.Remove(c.place)
-	}
+	g.lift(c)
 	if c.place = g.resting.PushBack(c); last {
 		g.resting.MoveToFront(c.place)
 	}
@@ -98,10 +101,7 @@
 func (g *gate) leave(c *client) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.place != nil {
-		g.resting.Remove(c.place)
-		c.place = nil
-	}
+	g.lift(c)
 	g.open--
 	g.clearing = false
 	g.stirred()
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -31,25 +31,26 @@
 	asks   chan struct{} // subscriptions that the module asked for
 	moves  chan string   // where discovery is from now on
 
-	start                         time.Time
-	base                          int64 // Unix time of start in tenths of a millisecond
-	now                           int64
-	wakes                         wakes
-	next                          []func() // what the next turn begins with
-	lastID                        uint64
-	searches                      map[uint64]*search
-	names                         map[string]bool // of the searches
-	parts                         map[uint64]*part
-	fleet                         map[string]*replica
-	order                         []*replica // with calls to go out at the end of the turn
-	sockets                       int        // descriptors that the plan grants
-	streams, perCall, maxAttempts int        // of the settings, read once
-	lines                         int        // connections to replicas
-	sentAt                        int64      // the last turn with calls
-	usual                         float64    // tenths of a millisecond that an answer takes, of late
-	listed                        bool
-	clients                       map[*link]bool
-	ending                        bool // no new client connections come
+	streams, perCall, maxAttempts int // of the settings, read once
+
+	start    time.Time
+	base     int64 // Unix time of start in tenths of a millisecond
+	now      int64
+	wakes    wakes
+	next     []func() // what the next turn begins with
+	lastID   uint64
+	searches map[uint64]*search
+	names    map[string]bool // of the searches
+	parts    map[uint64]*part
+	fleet    map[string]*replica
+	order    []*replica // with calls to go out at the end of the turn
+	sockets  int        // descriptors that the plan grants
+	lines    int        // connections to replicas
+	sentAt   int64      // the last turn with calls
+	usual    float64    // tenths of a millisecond that an answer takes, of late
+	listed   bool
+	clients  map[*link]bool
+	ending   bool // no new client connections come
 }
 
 // search is one search from its request to its final answer. The front that took it makes it; reply is
@@ -291,8 +292,7 @@
 			if l := sub.call.line; o.takeBack(sub) {
 				o.later(func() { o.landed(sub, "Ignored", nil) })
 			} else if sub.call.parcel.stage.Load() == begun {
-				l.shut = true
-				l.end(retired)
+				l.cut(retired)
 			}
 		}
 		o.drop(p)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -267,8 +267,7 @@
 		}
 	}
 	if spare != nil {
-		spare.shut = true
-		spare.end(displaced)
+		spare.cut(displaced)
 		return o.dial(r)
 	}
 	return fullest
@@ -388,8 +387,7 @@
 	if sub == nil {
 		if _, known := l.past[id]; !known {
 			o.log.often("bad_frame", "event=bad_frame replica=%s error=%q", l.r.id, "answer to "+id)
-			l.shut = true
-			l.end(garbled)
+			l.cut(garbled)
 		}
 		return
 	}
@@ -408,8 +406,7 @@
 	for _, l := range slices.Clone(heard.r.lines) {
 		age := l.unheard(o.now)
 		if l != heard && !l.shut && o.now-age < sent && age > max(o.silence(), o.doubtAfter()) {
-			l.shut = true
-			l.end(retired)
+			l.cut(retired)
 		}
 	}
 }
@@ -453,8 +450,13 @@
 		o.after(max(left, most/4), func() { o.idle(l) })
 		return
 	}
+	l.cut(unused)
+}
+
+// cut ends a connection at once; until that is told, it takes nothing new.
+func (l *line) cut(e ending) {
 	l.shut = true
-	l.end(unused)
+	l.end(e)
 }
 
 // retire lets a connection end once nothing is out on it.
