--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -1,35 +1,248 @@
-// Command chalkring is one co-ordinator; GW_CONFIG names its plan.
+// Command chalkring is one co-ordinator; GW_CONFIG names its plan. Without a command it serves.
 package main
 
 import (
 	"context"
-	"log"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
 	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/lmittmann/tint"
 
 	"chalkring/coordinator"
+	"chalkring/installation"
+	"chalkring/peer"
+	"chalkring/work"
 )
 
+type line struct {
+	Serve   serve   `cmd:"" default:"withargs" help:"Work as a co-ordinator by the plan that GW_CONFIG names (what plain chalkring does)."`
+	Check   check   `cmd:"" help:"Look at plans (.json) and installation files (.yaml) as serve would, and say what is wrong with them."`
+	Peers   peers   `cmd:"" help:"Ask each peer that an installation file names how it stands."`
+	Version version `cmd:"" help:"Tell what was built."`
+}
+
 func main() {
-	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP) // first of all: none may end the program
+	k := kong.Parse(&line{}, kong.Name("chalkring"),
+		kong.Description("A co-ordinator that reads many shards for one search."), kong.UsageOnError(), kong.Bind(hangUps))
+	var failed exit
+	if err := k.Run(); errors.As(err, &failed) {
+		os.Exit(int(failed))
+	} else if err != nil {
+		fmt.Fprintln(os.Stderr, "chalkring:", err)
+		os.Exit(1)
+	}
+}
+
+// exit is a failure that has been told already.
+type exit int
+
+func (e exit) Error() string { return fmt.Sprint("exit code ", int(e)) }
+
+type serve struct {
+	Installation string `help:"YAML file with what this installation turns on beside the plan." type:"path" placeholder:"FILE"`
+}
+
+func (s *serve) Run(hangUps chan os.Signal) error {
+	log := coordinator.NewLog(os.Stderr, false, slog.LevelInfo)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	noStart := func(err error) error {
+		log.Error("no_start", "error", err)
+		return exit(1)
+	}
 	plan, err := coordinator.Read(os.Getenv)
 	if err != nil {
-		logger.Fatalf("event=no_start error=%q", err)
+		return noStart(err)
+	}
+	var more *coordinator.Peers
+	if s.Installation != "" {
+		file, err := installation.Read(s.Installation)
+		if err != nil {
+			return noStart(err)
+		}
+		log = logOf(file.Log, os.Stderr)
+		if more, err = peersOf(file, plan.Name, log); err != nil {
+			return noStart(err)
+		}
 	}
 	plan.Bound()
 	ln, err := net.Listen("tcp", plan.Listen)
 	if err != nil {
-		logger.Fatalf("event=no_start error=%q", err)
+		return noStart(err)
 	}
 	if err := plan.Serve(ctx, coordinator.Means{Listener: ln, Dial: (&net.Dialer{}).DialContext,
-		Clock: coordinator.SystemClock{}, Log: logger,
-		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, logger)}); err != nil {
-		logger.Fatalf("event=failed error=%q", err)
+		Clock: coordinator.SystemClock{}, Log: log, Peers: more,
+		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, log)}); err != nil {
+		log.Error("failed", "error", err)
+		return exit(1)
+	}
+	return nil
+}
+
+// logOf is the log as an installation wants it.
+func logOf(l installation.Log, to io.Writer) *slog.Logger {
+	var least slog.Level
+	least.UnmarshalText([]byte(l.Level)) // the file's check has seen it
+	if l.Format == "terminal" {
+		return slog.New(tint.NewHandler(to, &tint.Options{Level: least, TimeFormat: time.TimeOnly + ".000"}))
+	}
+	return coordinator.NewLog(to, l.Format == "json", least)
+}
+
+// peersOf opens what an installation's peers need.
+func peersOf(file *installation.File, name string, log *slog.Logger) (*coordinator.Peers, error) {
+	p := file.Peers
+	if p == nil {
+		return nil, nil
+	}
+	if p.Name != "" {
+		name = p.Name
+	}
+	more := &coordinator.Peers{Name: name, Place: p.Place, Allow: p.Allow, Refresh: p.Refresh,
+		Budgets: map[string]work.Budget{}}
+	for kind, w := range file.Background {
+		more.Budgets[kind] = work.Budget{Concurrent: w.Concurrent, Bytes: w.BytesPerSecond, CPU: w.CPUPerSecond}
+	}
+	for _, one := range p.Ask {
+		more.Ask = append(more.Ask, coordinator.PeerAt{Name: one.Name, Addr: one.Address})
+	}
+	var err error
+	if more.Keys, err = keysOf(p.TLS, func(err error) { log.Error("keys_failed", "error", err) }); err != nil {
+		return nil, err
+	}
+	if p.Listen != "" {
+		more.Listener, err = net.Listen("tcp", p.Listen)
+	}
+	return more, err
+}
+
+func keysOf(t *installation.TLS, complain func(err error)) (*peer.Keys, error) {
+	if t == nil {
+		return nil, nil
+	}
+	return peer.NewKeys(t.Certificate, t.Key, t.Authorities, complain)
+}
+
+type check struct {
+	Files []string `arg:"" type:"existingfile" help:"Files to look at."`
+}
+
+func (c *check) Run() error {
+	bad := false
+	for _, name := range c.Files {
+		var err error
+		switch filepath.Ext(name) {
+		case ".yaml", ".yml":
+			var file *installation.File
+			if file, err = installation.Read(name); err == nil && file.Peers != nil {
+				if _, err = keysOf(file.Peers.TLS, nil); err != nil {
+					err = fmt.Errorf("%s: %w", name, err)
+				}
+			}
+		default:
+			var text []byte
+			if text, err = os.ReadFile(name); err == nil {
+				if _, err = coordinator.Parse(text); err != nil {
+					err = fmt.Errorf("%s: %w", name, err)
+				}
+			}
+		}
+		if err != nil {
+			bad = true
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		fmt.Println(name+":", "can be used")
+	}
+	if bad {
+		return exit(1)
+	}
+	return nil
+}
+
+type peers struct {
+	Installation string `required:"" help:"YAML file that names the peers." type:"existingfile" placeholder:"FILE"`
+	Name         string `help:"Name to ask under, where the file has none." default:""`
+}
+
+func (p *peers) Run() error {
+	file, err := installation.Read(p.Installation)
+	if err != nil {
+		return err
+	}
+	if file.Peers == nil || len(file.Peers.Ask) == 0 {
+		return fmt.Errorf("%s names no peers to ask", p.Installation)
+	}
+	if file.Peers.Name != "" {
+		p.Name = file.Peers.Name
+	}
+	keys, err := keysOf(file.Peers.TLS, func(err error) { fmt.Fprintln(os.Stderr, err) })
+	if err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	defer out.Flush()
+	fmt.Fprintln(out, "PEER\tADDRESS\tPLACE\tUP\tLIST\tHOSTS\tTOLD\tPUT OFF\tLOAD\tJOBS\tHELD\tITS PEERS")
+	unreached := 0
+	for _, one := range file.Peers.Ask {
+		asking := peer.Asking{Peer: one.Name, Addr: one.Address, Me: p.Name, Dial: (&net.Dialer{}).DialContext, Keys: keys}
+		s, err := asking.Status(context.Background())
+		if err != nil {
+			unreached++
+			fmt.Fprintf(out, "%s\t%s\t%v\n", one.Name, one.Address, err)
+			continue
+		}
+		var its []string
+		for _, q := range s.Peers {
+			last := q.Last
+			if last == "" {
+				last = "not asked"
+			}
+			its = append(its, fmt.Sprintf("%s:%s", q.Name, last))
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d%%\t%d+%d\t%d\t%s\n", one.Name, one.Address, s.Place,
+			(time.Duration(s.UpMs) * time.Millisecond).Round(time.Second), s.List, s.Hosts, s.Answered, s.PutOff,
+			s.Load/10, s.Running, s.Waiting, s.Held, strings.Join(its, " "))
+	}
+	if unreached > 0 {
+		out.Flush()
+		return exit(1)
+	}
+	return nil
+}
+
+type version struct{}
+
+func (version) Run() error {
+	built, _ := debug.ReadBuildInfo()
+	revision, at, dirty := "unknown", "", ""
+	for _, s := range built.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			revision = s.Value
+		case "vcs.time":
+			at = " of " + s.Value
+		case "vcs.modified":
+			if s.Value == "true" {
+				dirty = " with changes"
+			}
+		}
 	}
+	fmt.Printf("chalkring %s%s%s, %s, %s/%s\n", revision, at, dirty, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+	return nil
 }
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -38,7 +38,7 @@
 			return nil
 		}
 		if err != nil {
-			o.log.often("accept", "event=accept_failed error=%q", err)
+			o.log.often("accept", "accept_failed", "error", err)
 			select {
 			case <-o.Clock.After(acceptPause):
 			case <-o.ctx.Done():
@@ -63,7 +63,7 @@
 			})
 			switch end {
 			case slow, garbled, crowded, stuck, displaced:
-				o.log.often("client "+end.Error(), "event=client_connection_ended client=%s end=%s", conn.RemoteAddr(), end)
+				o.log.often("client "+end.Error(), "client_connection_ended", "client", conn.RemoteAddr().String(), "end", end)
 			}
 			return nil
 		})
@@ -165,11 +165,11 @@
 		var bad http1.Fault
 		switch {
 		case errors.As(err, &no): // the next request can be told from this one
-			c.o.log.often("refused", "event=refused client=%s status=%d error=%q", c.conn.RemoteAddr(), no.status, no.text)
+			c.o.log.often("refused", "refused", "client", c.conn.RemoteAddr().String(), "status", no.status, "error", no.text)
 			c.respond(no.status, "", []byte("{}"), keep)
 		case errors.As(err, &bad):
-			c.o.log.often("bad_request", "event=bad_request client=%s status=%d error=%q", c.conn.RemoteAddr(),
-				bad.Status, bad.Text)
+			c.o.log.often("bad_request", "bad_request", "client", c.conn.RemoteAddr().String(),
+				"status", bad.Status, "error", bad.Text)
 			c.respond(bad.Status, "", []byte("{}"), false)
 			c.drain(ctx, (*buf)[:bufferSize])
 			return garbled
@@ -187,7 +187,7 @@
 	c.o.post(func() {
 		if s != nil && !s.over {
 			c.o.withdraw(s)
-			c.o.log.often("sent_ahead", "event=sent_ahead client=%s", c.conn.RemoteAddr())
+			c.o.log.often("sent_ahead", "sent_ahead", "client", c.conn.RemoteAddr().String())
 			c.respond(400, "", []byte("{}"), false)
 		}
 	})
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -387,7 +387,7 @@
 func TestNoiseBehindAnswer(t *testing.T) {
 	here, there := net.Pipe()
 	defer here.Close()
-	o := &owner{queue: make(chan func(), 4), ctx: context.Background(), log: newNotes(SystemClock{})}
+	o := &owner{queue: make(chan func(), 4), ctx: context.Background(), log: newNotes(SystemClock{}, slog.DiscardHandler)}
 	l := &line{link: newLink(o.ctx, 1), r: &replica{id: "a0"}, past: map[string]uint64{"q.1": 1}}
 	go func() {
 		asked{id: "q.1", conn: there}.good()
@@ -686,7 +686,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	out, signals := &journal{}, make(chan os.Signal)
-	plans := Reloads(ctx, first, signals, env, log.New(out, "", 0))
+	plans := Reloads(ctx, first, signals, env, NewLog(out, false, slog.LevelInfo))
 	for _, x := range [][3]string{{"file", `"Added":1,`, "variable"}, {"elsewhere", "", "elsewhere"}, {"broken", "{", ""},
 		{"elsewhere", "", "elsewhere"}} {
 		write(x[0], x[1])
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -14,11 +14,11 @@
 var states = map[string]string{"up": "healthy", "draining": "cordoned", "removed": "deregistered"}
 
 // readList looks at a whole list or changes and returns its version and what tells the owner and the module.
-func (o *owner) readList(all map[string]any) (version float64, tell func(how string), err error) {
+func (o *owner) readList(all map[string]any) (version float64, hosts []listedHost, tell func(how string), err error) {
 	version, ok := amount(all["version"])
 	list, ok2 := all["servers"].([]any)
 	if !ok || !ok2 {
-		return 0, nil, errors.New("no version or no servers")
+		return 0, nil, nil, errors.New("no version or no servers")
 	}
 	var steps []func()
 	present := map[string]bool{}
@@ -30,16 +30,17 @@
 		since, _ := amount(m["started_ms"])
 		gone := status == "deregistered"
 		if id == "" || status == "" || !gone && (addr == "" || !ok) {
-			return 0, nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
+			return 0, nil, nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
 		}
 		zone, kind := o.nth("FailureDomains", word(m["zone"])), o.nth("MachineTypes", word(m["kind"]))
 		present[id] = !gone
+		hosts = append(hosts, listedHost{id, addr, int64(since), gone})
 		steps = append(steps, func() {
 			o.place(id, addr, gone)
 			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
 		})
 	}
-	return version, func(how string) {
+	return version, hosts, func(how string) {
 		for _, step := range steps {
 			step()
 		}
@@ -52,7 +53,7 @@
 		}
 		o.listed = o.listed || len(o.fleet) > 0
 		o.module.ListDone(how, int64(version))
-		o.log.Printf("event=list how=%s version=%.0f entries=%d", how, version, len(list))
+		o.log.Info("list", "how", how, "version", int64(version), "entries", len(list))
 	}, nil
 }
 
@@ -105,7 +106,7 @@
 		if o.ctx.Err() != nil {
 			return nil
 		}
-		o.log.Printf("event=list_failed discovery=%s version=%.0f error=%q", at, version, err)
+		o.log.Warn("list_failed", "discovery", at, "version", int64(version), "error", err)
 		if asked {
 			o.post(func() { o.module.ListDone("Error", 0) })
 			continue
@@ -180,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	v, tell, err := o.readList(all)
+	v, hosts, tell, err := o.readList(all)
 	if err != nil {
 		return err
 	}
@@ -202,5 +203,8 @@
 	if !o.post(func() { tell(how) }) {
 		return closing
 	}
+	if o.peers != nil {
+		o.peers.listed(full, int64(v), hosts)
+	}
 	return nil
 }
--- a/coordinator/logging.go
+++ b/coordinator/logging.go
@@ -2,18 +2,34 @@
 
 import (
 	"context"
-	"fmt"
-	"log"
+	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// NewLog writes lines of key=value text, or JSON objects, one an event: time, level, event and what belongs to it.
+func NewLog(to io.Writer, json bool, least slog.Level) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: least, ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+		if len(groups) == 0 && a.Key == slog.MessageKey {
+			a.Key = "event"
+		}
+		return a
+	}}
+	if json {
+		return slog.New(slog.NewJSONHandler(to, opts))
+	}
+	return slog.New(slog.NewTextHandler(to, opts))
+}
+
 // notes is the log as the co-ordinator's goroutines write to it: no one waits for it. Lines that find it
 // full are dropped and counted. Guards against a reader of the log that stalls.
 type notes struct {
+	*slog.Logger
 	clock Clock
-	lines chan string
+	out   slog.Handler
+	lines chan entry
 	lost  atomic.Int64
 
 	mu    sync.Mutex
@@ -21,22 +37,41 @@
 	more  map[string]int       // and how often it was left out since; kinds are constants of the code
 }
 
-func newNotes(clock Clock) *notes {
-	return &notes{clock: clock, lines: make(chan string, logRoom), spoke: map[string]time.Time{},
-		more: map[string]int{}}
+// entry is a line on its way to its handler.
+type entry struct {
+	to slog.Handler
+	r  slog.Record
 }
 
-func (n *notes) Printf(format string, v ...any) {
+// bounded hands records over without waiting.
+type bounded struct {
+	n  *notes
+	to slog.Handler
+}
+
+func (b bounded) Enabled(ctx context.Context, l slog.Level) bool { return b.to.Enabled(ctx, l) }
+func (b bounded) WithAttrs(as []slog.Attr) slog.Handler          { return bounded{b.n, b.to.WithAttrs(as)} }
+func (b bounded) WithGroup(name string) slog.Handler             { return bounded{b.n, b.to.WithGroup(name)} }
+
+func (b bounded) Handle(_ context.Context, r slog.Record) error {
 	select {
-	case n.lines <- fmt.Sprintf(format, v...):
+	case b.n.lines <- entry{b.to, r.Clone()}:
 	default:
-		n.lost.Add(1)
+		b.n.lost.Add(1)
 	}
+	return nil
+}
+
+func newNotes(clock Clock, out slog.Handler) *notes {
+	n := &notes{clock: clock, out: out, lines: make(chan entry, logRoom), spoke: map[string]time.Time{},
+		more: map[string]int{}}
+	n.Logger = slog.New(bounded{n, out})
+	return n
 }
 
 // often writes what others can bring about at will: one line a kind each logEach, with the count of those left
 // out. Guards against strangers who fill the log.
-func (n *notes) often(kind, format string, v ...any) {
+func (n *notes) often(kind, event string, v ...any) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
@@ -44,24 +79,26 @@
 		n.more[kind]++
 		return
 	}
-	n.Printf(format+" left_out=%d", append(v, n.more[kind])...)
+	n.Warn(event, append(v, "left_out", n.more[kind])...)
 	n.spoke[kind], n.more[kind] = now, 0
 }
 
 // write writes the lines out until ctx ends, and then what is left.
-func (n *notes) write(ctx context.Context, out *log.Logger) error {
+func (n *notes) write(ctx context.Context) error {
 	for {
 		select {
-		case line := <-n.lines:
-			out.Print(line)
+		case l := <-n.lines:
+			l.to.Handle(ctx, l.r)
 			if lost := n.lost.Swap(0); lost > 0 {
-				out.Printf("event=log_full lines_lost=%d", lost)
+				r := slog.NewRecord(n.clock.Now(), slog.LevelWarn, "log_full", 0)
+				r.Add("lines_lost", lost)
+				n.out.Handle(ctx, r)
 			}
 		case <-ctx.Done():
 			for {
 				select {
-				case line := <-n.lines:
-					out.Print(line)
+				case l := <-n.lines:
+					l.to.Handle(ctx, l.r)
 				default:
 					return nil
 				}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,6 +53,9 @@
 	listed   bool
 	clients  map[*link]bool
 	ending   bool // no new client connections come
+
+	busy  atomic.Int64 // ns spent in turns
+	peers *learner     // nil where peers are not allowed
 }
 
 // search is one search from its request to its final answer. The front that took it makes it; reply is
@@ -166,9 +170,12 @@
 	o.now = o.clock()
 	o.module.Clock(o.now)
 	o.module.Start(o.plan.seed, o.plan.facts)
-	_, tell, err := o.readList(o.plan.known)
+	version, hosts, tell, err := o.readList(o.plan.known)
 	if err == nil {
 		tell("Persisted")
+		if o.peers != nil {
+			o.peers.listed(true, int64(version), hosts)
+		}
 	}
 	o.module.EndOfBatch()
 	return err
@@ -178,7 +185,7 @@
 func (o *owner) run() (err error) {
 	defer func() {
 		if r := recover(); r != nil {
-			o.log.Printf("event=fault error=%q stack=%q", fmt.Sprint(r), debug.Stack())
+			o.log.Error("fault", "error", fmt.Sprint(r), "stack", string(debug.Stack()))
 			err = fmt.Errorf("fault in a turn: %v", r)
 		}
 	}()
@@ -212,6 +219,8 @@
 
 // turn is one turn of the module: all that is queued by now, the wakes that are due, EndOfBatch.
 func (o *owner) turn(first func()) {
+	began := time.Now()
+	defer func() { o.busy.Add(int64(time.Since(began))) }()
 	o.now = max(o.now, o.clock())
 	if o.now == o.sentAt { // what two turns send is two calls: the module tells them apart by time
 		o.now++
@@ -421,5 +430,5 @@
 }
 
 func (o *owner) Note(text string) {
-	o.log.Printf("event=note text=%q", strings.ToValidUTF8(text, "?"))
+	o.log.Info("note", "text", strings.ToValidUTF8(text, "?"))
 }
--- /dev/null
+++ b/coordinator/peers.go
@@ -0,0 +1,398 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chalkring/learn"
+	"chalkring/peer"
+	"chalkring/work"
+)
+
+const (
+	lookEach  = 100 * time.Millisecond // between looks at the owner's load: several within the plan's memory of it
+	askJob    = 12 * time.Second       // for an asking to start and end: a little over the peer's own bound
+	askKind   = "ask"
+	askPrefix = "ask "
+	replyKind = "answer"
+)
+
+// Peers is what an installation allows beside the plan: co-ordinators that learn from one another. Without it
+// none of this file runs.
+type Peers struct {
+	Name, Place string
+	Listener    net.Listener // where others ask; nil answers nobody
+	Ask         []PeerAt
+	Allow       []string
+	Keys        *peer.Keys // nil for plain TCP
+	Refresh     time.Duration
+	Budgets     map[string]work.Budget
+}
+
+// PeerAt is a peer and where it listens.
+type PeerAt struct{ Name, Addr string }
+
+// learner is the co-ordinator's side towards its peers. The owner never waits for it: it takes slices of knowledge
+// from the owner and gives slices of what was heard through the owner's queue, one at a time, each small.
+type learner struct {
+	o        *owner
+	p        *Peers
+	pool     *work.Pool
+	instance uint64
+	zones    []string
+	stir     chan struct{} // the asker has to be looked at
+
+	mu     sync.Mutex
+	shelf  *learn.Shelf
+	asker  *learn.Asker
+	desk   *learn.Desk
+	since  map[string]int64 // start of each listed host in ms
+	addrs  map[string]string
+	taking sync.Mutex // one snapshot at a time, which all askers share
+	taken  *learn.Taker
+	serial uint64
+	load   float64
+	heard  int // hosts of which something was last handed to the module
+
+	version atomic.Int64 // of the list in force
+	feeding sync.Mutex   // one hand-over to the module at a time
+}
+
+func newLearner(o *owner, p *Peers) *learner {
+	now, name := o.clock(), o.plan.Name
+	if p.Name == "" {
+		p.Name = name
+	}
+	l := &learner{o: o, p: p, zones: o.plan.list("FailureDomains"), stir: make(chan struct{}, 1), desk: learn.NewDesk(),
+		since: map[string]int64{}, addrs: map[string]string{}}
+	l.instance = xxhash.Sum64String(fmt.Sprint(name, o.plan.seed, o.Listener.Addr(), o.start.UnixNano()))
+	l.shelf = learn.NewShelf(p.Place, l.zones)
+	var names []string
+	for _, at := range p.Ask {
+		names = append(names, at.Name)
+	}
+	l.asker = learn.NewAsker(rand.New(rand.NewSource(o.plan.seed+1)), now, int64(p.Refresh/tenth), names)
+	plan := work.NewPlan(rand.New(rand.NewSource(o.plan.seed+2)), p.Budgets)
+	l.pool = work.NewPool(o.Clock, plan, func(job string, err error) {
+		o.log.often("job", "job_given_up", "job", job, "error", err)
+		if name, asking := strings.CutPrefix(job, askPrefix); asking {
+			o.g.Go(func() error { l.ended(name, learn.Failed, 0, err); return nil }) // the pool must not be held up
+		}
+	})
+	return l
+}
+
+// run starts what this side does, in the owner's errgroup.
+func (l *learner) run() {
+	o := l.o
+	o.g.Go(func() error { return l.pool.Run(o.ctx) })
+	o.g.Go(l.ask)
+	o.g.Go(l.look)
+	if l.p.Listener == nil {
+		return
+	}
+	s := &peer.Server{Name: l.p.Name, Instance: l.instance, Allow: l.p.Allow, Keys: l.p.Keys, Admit: l.admit,
+		Done: l.done, Report: l.report, Status: l.status, Spend: l.reply,
+		Refused: func(addr, why string) { o.log.often("peer_refused", "peer_refused", "client", addr, "why", why) }}
+	o.log.Info("peers", "listen", l.p.Listener.Addr().String(), "name", l.p.Name, "asks", len(l.p.Ask))
+	o.g.Go(func() error { return s.Serve(o.ctx, l.p.Listener) })
+}
+
+// look takes the owner's load, by which background work waits and askers are put off. A wake that comes late tells of
+// a machine that is full beside the owner.
+func (l *learner) look() error {
+	before, busy := time.Now(), l.o.busy.Load()
+	for {
+		select {
+		case <-l.o.Clock.After(lookEach):
+		case <-l.o.ctx.Done():
+			return nil
+		}
+		now, turned := time.Now(), l.o.busy.Load()
+		share := float64(turned-busy) / float64(max(1, now.Sub(before)))
+		late := float64(now.Sub(before)-lookEach) / float64(now.Sub(before))
+		before, busy = now, turned
+		share = min(1, max(share, late, float64(len(l.o.queue))/queueRoom))
+		l.pool.Load(share)
+		l.mu.Lock()
+		l.load = share
+		l.desk.Busy(share)
+		l.shelf.Expire(l.o.clock())
+		l.mu.Unlock()
+	}
+}
+
+// ask hands askings that are due to the pool.
+func (l *learner) ask() error {
+	for {
+		l.mu.Lock()
+		now := l.o.clock()
+		for _, name := range l.asker.Due(now) {
+			l.start(name)
+		}
+		next := l.asker.NextAt(now)
+		l.mu.Unlock()
+		var wake <-chan time.Time
+		if next > 0 {
+			wake = l.o.Clock.After(time.Duration(max(1, next-now)) * tenth)
+		}
+		select {
+		case <-wake:
+		case <-l.stir:
+		case <-l.o.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// start makes a job of asking one peer.
+func (l *learner) start(name string) {
+	i := slices.IndexFunc(l.p.Ask, func(at PeerAt) bool { return at.Name == name })
+	at := l.p.Ask[i]
+	job := work.Job{Name: askPrefix + name, Kind: askKind, Priority: work.Urgent, Tries: 1, Deadline: int64(askJob / tenth)}
+	_, err := l.pool.Add(job, func(ctx context.Context, a *work.Allowance) error {
+		how, later, err := l.askOne(ctx, at, a)
+		l.ended(at.Name, how, later, err)
+		return nil
+	})
+	if err != nil {
+		l.o.g.Go(func() error { l.ended(at.Name, learn.Failed, 0, err); return nil }) // start is called with the lock
+	}
+}
+
+func (l *learner) askOne(ctx context.Context, at PeerAt, a *work.Allowance) (learn.Outcome, time.Duration, error) {
+	asked := l.o.clock()
+	asking := peer.Asking{Peer: at.Name, Addr: at.Addr, Me: l.p.Name, Instance: l.instance, Dial: l.o.Dial, Keys: l.p.Keys,
+		Head: func(h learn.Head) error {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.shelf.Begin(asked, h)
+		},
+		Notes: func(notes []learn.Note) error {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.shelf.Add(at.Name, notes)
+		},
+		Spend: func(ctx context.Context, bytes int) error { return a.Spend(ctx, bytes, 0) }}
+	return asking.Run(ctx)
+}
+
+// ended takes in how an asking ended; a whole report goes to the module.
+func (l *learner) ended(name string, how learn.Outcome, later time.Duration, err error) {
+	l.mu.Lock()
+	if how == learn.Told {
+		l.shelf.End(name)
+	} else {
+		l.shelf.Drop(name)
+	}
+	l.asker.Ended(l.o.clock(), name, how, int64(later/tenth))
+	l.mu.Unlock()
+	select {
+	case l.stir <- struct{}{}:
+	default:
+	}
+	switch {
+	case l.o.ctx.Err() != nil:
+	case how == learn.Told:
+		hosts := l.feed()
+		l.o.log.Info("learned", "peer", name, "hosts", hosts)
+	case how == learn.Later:
+		l.o.log.often("peer_later", "peer_later", "peer", name, "wait", later)
+	default:
+		l.o.log.often("peer "+how.String(), "peer_failed", "peer", name, "how", how, "error", err)
+	}
+}
+
+// feed puts together what all reports say now and hands it to the module, slice by slice.
+func (l *learner) feed() (hosts int) {
+	l.feeding.Lock()
+	defer l.feeding.Unlock()
+	l.mu.Lock()
+	heard := l.shelf.Combine(l.o.clock(), func(host string) (int64, bool) {
+		ms, listed := l.since[host]
+		return ms, listed
+	})
+	l.heard = len(heard)
+	l.mu.Unlock()
+	for part := range slices.Chunk(heard, learn.SliceMost) {
+		if l.turn(func() {
+			for _, h := range part {
+				l.o.module.Hear(h)
+			}
+		}) != nil {
+			break
+		}
+	}
+	return len(heard)
+}
+
+// turn has the owner do something in one of its turns and returns once that is done.
+func (l *learner) turn(do func()) error {
+	done := make(chan struct{})
+	if !l.o.post(func() { do(); close(done) }) {
+		return closing
+	}
+	select {
+	case <-done:
+		return nil
+	case <-l.o.ctx.Done():
+		return closing
+	}
+}
+
+// listed takes in a list or changes of it, before the module hears of them or after; nothing waits for it but the
+// list's own goroutine. What was heard of a host that has changed its address or left is of another machine.
+func (l *learner) listed(full bool, version int64, hosts []listedHost) {
+	l.mu.Lock()
+	now, moved := l.o.clock(), false
+	present := map[string]bool{}
+	move := func(id string) {
+		l.shelf.Moved(now, id)
+		moved = true
+	}
+	for _, h := range hosts {
+		old, known := l.addrs[h.id]
+		if present[h.id] = !h.gone; h.gone {
+			delete(l.since, h.id)
+			if delete(l.addrs, h.id); known {
+				move(h.id)
+			}
+			continue
+		}
+		if known && old != h.addr {
+			move(h.id)
+		}
+		moved = moved || !known || l.since[h.id] != h.since
+		l.since[h.id], l.addrs[h.id] = h.since, h.addr
+	}
+	if full {
+		for id := range l.since {
+			if !present[id] {
+				delete(l.since, id)
+				delete(l.addrs, id)
+				move(id)
+			}
+		}
+	}
+	feed := moved && l.shelf.Peers() > 0
+	l.mu.Unlock()
+	l.version.Store(version)
+	if feed {
+		l.o.g.Go(func() error { l.feed(); return nil })
+	}
+}
+
+// admit, done, report, status and reply are what the peers' server is given.
+
+func (l *learner) admit(name string) (ok bool, later time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ok, wait := l.desk.Ask(l.o.clock(), name)
+	return ok, time.Duration(wait) * tenth
+}
+
+func (l *learner) done() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.desk.Done()
+}
+
+// report gives the newest snapshot, or takes one. Askers that come meanwhile wait for it and share it.
+func (l *learner) report(ctx context.Context) (learn.Head, []learn.Note, error) {
+	l.taking.Lock()
+	defer l.taking.Unlock()
+	l.mu.Lock()
+	fresh := l.taken != nil && l.desk.Fresh(l.o.clock())
+	l.mu.Unlock()
+	if !fresh {
+		if err := l.take(ctx); err != nil {
+			return learn.Head{}, nil, err
+		}
+	}
+	return l.taken.HeadAt(l.o.clock()), l.taken.Notes, nil
+}
+
+// take makes a snapshot, SliceMost hosts a turn.
+func (l *learner) take(ctx context.Context) error {
+	l.serial++
+	for {
+		t := learn.NewTaker(l.o.clock(), l.p.Name, l.p.Place, l.serial, l.version.Load(), l.zones)
+		for from := 0; ; {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if err := l.turn(func() { from = l.o.module.Know(from, learn.SliceMost, t.Tell) }); err != nil {
+				return err
+			}
+			if from == 0 {
+				break
+			}
+		}
+		l.mu.Lock()
+		again := t.Changed(l.version.Load()) && l.desk.Retake()
+		if !again {
+			l.desk.Taken(l.o.clock() - t.AgeAt(l.o.clock()))
+		}
+		l.mu.Unlock()
+		if !again {
+			l.taken = t
+			return nil
+		}
+	}
+}
+
+// reply takes an answer's bytes from the budget of answers, as a job that is on its way already.
+func (l *learner) reply(ctx context.Context, bytes int) error {
+	done := make(chan error, 1)
+	_, err := l.pool.Add(work.Job{Name: "answer", Kind: replyKind, Priority: work.Usual, Tries: 1},
+		func(ctx context.Context, a *work.Allowance) error {
+			done <- a.Spend(ctx, bytes, 0)
+			return nil
+		})
+	if err != nil {
+		return err
+	}
+	select {
+	case err = <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *learner) status(context.Context) (peer.Status, error) {
+	counts, waiting, running, load := l.pool.Counts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.o.clock()
+	s := peer.Status{Name: l.p.Name, Place: l.p.Place, UpMs: uint64(l.o.Clock.Now().Sub(l.o.start).Milliseconds()),
+		List: l.version.Load(), Hosts: uint32(len(l.since)), Answered: uint32(l.desk.Answers), PutOff: uint32(l.desk.Put),
+		Load: uint16(1000 * min(1, max(load, l.load))), Waiting: uint16(waiting), Running: uint16(running), Held: uint32(counts.Held)}
+	for _, p := range l.asker.Standings(now) {
+		one := peer.PeerStatus{Name: p.Name, Told: uint32(p.Told)}
+		if p.LastAt > 0 {
+			one.Last, one.AgoMs = p.Last.String(), uint64((now-p.LastAt)/10)
+		}
+		if p.NextAt > now {
+			one.NextMs = uint64((p.NextAt - now) / 10)
+		}
+		s.Peers = append(s.Peers, one)
+	}
+	return s, nil
+}
+
+// listedHost is one entry of a list, as far as the learner needs it.
+type listedHost struct {
+	id, addr string
+	since    int64 // ms
+	gone     bool
+}
--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"os"
 	"slices"
 	"strings"
@@ -11,7 +11,7 @@
 // Reloads reads the plan again at each signal and hands it on, for Means.Plans. One that cannot be read or
 // lacks something changes nothing. The runtime's bounds follow a new plan at once.
 func Reloads(ctx context.Context, first *Plan, signals <-chan os.Signal, env func(string) string,
-	out *log.Logger) <-chan *Plan {
+	out *slog.Logger) <-chan *Plan {
 	plans := make(chan *Plan)
 	go func() {
 		for last := first; ; {
@@ -22,7 +22,7 @@
 			}
 			p, err := Read(env)
 			if err != nil {
-				out.Printf("event=reload_failed error=%q", err)
+				out.Error("reload_failed", "error", err)
 				continue
 			}
 			// The variable holds over the file only while the file's own address is as it was at the start.
@@ -74,8 +74,8 @@
 	for {
 		select {
 		case p := <-plans:
-			o.log.Printf("event=reloaded discovery=%s sockets=%d waits_for_restart=%q", p.Discovery, p.Sockets,
-				o.plan.differs(p))
+			o.log.Info("reloaded", "discovery", p.Discovery, "sockets", p.Sockets,
+				"waits_for_restart", o.plan.differs(p))
 			f.gate.resize(int(clientShare * float64(p.Sockets)))
 			o.post(func() { o.sockets = p.Sockets })
 			select {
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -260,7 +260,7 @@
 	if float64(o.lines) < replicaShare*float64(o.sockets) {
 		return o.dial(r)
 	}
-	o.log.often("no_descriptor", "event=no_descriptor side=replicas open=%d", o.lines)
+	o.log.often("no_descriptor", "no_descriptor", "side", "replicas", "open", o.lines)
 	var spare *line
 	for _, other := range o.fleet {
 		for _, l := range other.lines {
@@ -351,7 +351,7 @@
 			return endingOf(err)
 		}
 		if letter == frame.Refuse && err == nil {
-			o.log.often("frame_refused", "event=frame_refused replica=%s words=%.200q", l.r.id, rest)
+			o.log.often("frame_refused", "frame_refused", "replica", l.r.id, "words", string(rest[:min(len(rest), wordsMost)]))
 			return complained
 		}
 		if letter != frame.Answer && err == nil {
@@ -369,7 +369,7 @@
 			err = fmt.Errorf("%w: end %.20q, score %v, value %.40q", frame.ErrBad, end, score, value)
 		}
 		if err != nil {
-			o.log.often("bad_frame", "event=bad_frame replica=%s error=%q", l.r.id, err)
+			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", err)
 			return garbled
 		}
 		fits := frame.Fits(src)
@@ -389,7 +389,7 @@
 	sub := find(l.subs, id)
 	if sub == nil {
 		if _, known := l.past[id]; !known {
-			o.log.often("bad_frame", "event=bad_frame replica=%s error=%q", l.r.id, "answer to "+id)
+			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", "answer to "+id)
 			l.cut(garbled)
 		}
 		return
@@ -426,8 +426,8 @@
 	o.lines--
 	l.r.lines = slices.DeleteFunc(l.r.lines, func(x *line) bool { return x == l })
 	if len(l.subs) > 0 || end == notUp || end == slow || end == garbled {
-		o.log.often("replica "+end.Error(), "event=replica_connection_ended replica=%s addr=%s end=%s parts=%d",
-			l.r.id, addr, end, len(l.subs))
+		o.log.often("replica "+end.Error(), "replica_connection_ended", "replica", l.r.id, "addr", addr, "end", end,
+			"parts", len(l.subs))
 	}
 	// All are taken off before the first is told. Guards against what the module does on hearing of one: it may
 	// call off others that were on this connection, whose end has come too.
--- a/coordinator/shutdown.go
+++ b/coordinator/shutdown.go
@@ -12,7 +12,7 @@
 	case <-o.ctx.Done():
 		return nil
 	}
-	o.log.Printf("event=stopping name=%s", o.plan.Name)
+	o.log.Info("stopping", "name", o.plan.Name)
 	select {
 	case <-o.Clock.After(takeOn):
 	case <-o.ctx.Done():
--- a/coordinator/standins_test.go
+++ b/coordinator/standins_test.go
@@ -6,7 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -293,7 +293,7 @@
 	look := make(chan *owner, 1)
 	go func() {
 		r.ended <- p.Serve(ctx, Means{Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
-			Log: log.New(r.log, "", 0), Plans: r.plans, look: look})
+			Log: NewLog(r.log, false, slog.LevelInfo), Plans: r.plans, look: look})
 	}()
 	r.owner = <-look
 	t.Cleanup(stop)
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -58,6 +58,7 @@
 	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
+	wordsMost    = 200                     // bytes of a replica's words in a log line
 	nameMost     = 128                     // bytes of a request's id: it stands in each of its frames
 )
 
@@ -90,9 +91,11 @@
 	Listener net.Listener
 	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	Clock    Clock
-	Log      *log.Logger
+	Log      *slog.Logger // lines are handed to its handler by one goroutine
 	Plans    <-chan *Plan // that follow the first, as Reloads hands them on; may be nil
 
+	Peers *Peers // what an installation allows beside the plan; may be nil
+
 	look chan<- *owner // for tests that count what is held
 }
 
@@ -153,7 +156,7 @@
 	if p.known, ok = all["known"].(map[string]any); !ok {
 		return nil, errors.New("known is missing")
 	}
-	if _, _, err := (&owner{plan: p}).readList(p.known); err != nil {
+	if _, _, _, err := (&owner{plan: p}).readList(p.known); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	return p, p.check()
@@ -311,7 +314,7 @@
 	g, work := errgroup.WithContext(context.WithoutCancel(ctx))
 	stopping, stop := context.WithCancel(work)
 	defer stop()
-	o := &owner{plan: p, Means: m, log: newNotes(m.Clock), g: g, ctx: work, queue: make(chan func(), queueRoom),
+	o := &owner{plan: p, Means: m, log: newNotes(m.Clock, m.Log.Handler()), g: g, ctx: work, queue: make(chan func(), queueRoom),
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*wake{},
 		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
 		streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
@@ -319,6 +322,9 @@
 	o.base = o.start.UnixMicro() / 100
 	f := &front{o: o, gate: newGate(int(clientShare * float64(p.Sockets))), classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
 	o.module = logic.New(o)
+	if m.Peers != nil {
+		o.peers = newLearner(o, m.Peers)
+	}
 	if err := o.begin(); err != nil {
 		m.Listener.Close()
 		return err
@@ -326,18 +332,21 @@
 	if m.look != nil {
 		m.look <- o
 	}
-	g.Go(func() error { return o.log.write(work, m.Log) })
+	g.Go(func() error { return o.log.write(work) })
 	g.Go(o.run)
+	if o.peers != nil {
+		o.peers.run()
+	}
 	g.Go(f.accept)
 	g.Go(o.follow)
 	g.Go(func() error { return f.reload(m.Plans) })
 	g.Go(func() error { return o.windUp(ctx, stop) })
-	o.log.Printf("event=serving name=%s listen=%s discovery=%s sockets=%d memory_mb=%d cores=%g", p.Name,
-		m.Listener.Addr(), p.Discovery, p.Sockets, p.MemoryMB, p.Cores)
+	o.log.Info("serving", "name", p.Name, "listen", m.Listener.Addr().String(), "discovery", p.Discovery,
+		"sockets", p.Sockets, "memory_mb", p.MemoryMB, "cores", p.Cores)
 	if err = g.Wait(); errors.Is(err, errDone) {
 		err = nil
 	}
-	m.Log.Printf("event=stopped name=%s error=%v", p.Name, err)
+	m.Log.Info("stopped", "name", p.Name, "error", err)
 	return err
 }
 
--- /dev/null
+++ b/installation/installation.go
@@ -0,0 +1,261 @@
+// Package installation reads what other installations turn on beside the plan: a YAML file, checked whole, that
+// names each fault with line and column. The platform's plan stays JSON and knows nothing of it.
+// docs/learning.md and deploy/installation.yaml tell what may stand in it.
+package installation
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"chalkring/learn"
+)
+
+const (
+	fileMost    = 1 << 20        // bytes of the file: a thousand times what one needs
+	refreshMost = 24 * time.Hour // longest time between askings that makes sense
+	refreshLow  = time.Second    // shortest: a peer answers a name once a second
+	rateLow     = 1024           // bytes a second under which no report comes through in time
+	cpuMost     = 1.0            // seconds a second: one core is what a co-ordinator has
+	jobsMost    = 64             // jobs of a kind at once
+	defaultRate = 4 << 20        // bytes a second for peers: a report of 10,000 hosts in a quarter of a second
+	defaultCPU  = 0.2            // seconds a second: searches keep the rest
+	defaultJobs = 4              // askings at once
+)
+
+// File is what an installation turns on.
+type File struct {
+	Peers      *Peers          `yaml:"peers"`
+	Background map[string]Work `yaml:"background"`
+	Log        Log             `yaml:"log"`
+}
+
+// Peers are the co-ordinators that this one learns from, and those it tells.
+type Peers struct {
+	Name    string        `yaml:"name"`    // its own, the plan's where it is left out
+	Place   string        `yaml:"place"`   // where it stands; ways to zones are believed from the same place only
+	Listen  string        `yaml:"listen"`  // where others ask; nothing listens where it is left out
+	Ask     []Peer        `yaml:"ask"`     // whom it asks
+	Allow   []string      `yaml:"allow"`   // who may ask, by name
+	Refresh time.Duration `yaml:"refresh"` // between askings after the first half minute; 0 asks no more
+	TLS     *TLS          `yaml:"tls"`     // without it all is plain text and names are believed
+}
+
+// Peer is one to ask.
+type Peer struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+}
+
+// TLS names the files of mutual TLS, from the folder of the YAML file where they are not absolute.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authorities string `yaml:"authorities"`
+}
+
+// Work bounds one kind of background work: ask or answer.
+type Work struct {
+	BytesPerSecond float64 `yaml:"bytes_per_second"`
+	CPUPerSecond   float64 `yaml:"cpu_per_second"`
+	Concurrent     int     `yaml:"concurrent"`
+}
+
+// Kinds are the kinds of background work that may be bounded.
+var Kinds = []string{"ask", "answer"}
+
+// Log says how the log is written.
+type Log struct {
+	Format string `yaml:"format"` // text, json or terminal
+	Level  string `yaml:"level"`  // debug, info, warn or error
+}
+
+// Read reads a file and looks at all of it.
+func Read(path string) (*File, error) {
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	text, err := io.ReadAll(io.LimitReader(in, fileMost+1))
+	if err != nil {
+		return nil, err
+	}
+	f, err := Parse(text, filepath.Dir(path))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// Parse reads a file's text; relative names of files in it start from dir.
+func Parse(text []byte, dir string) (*File, error) {
+	if len(text) > fileMost {
+		return nil, fmt.Errorf("over %d bytes", fileMost)
+	}
+	f := &File{}
+	tree, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, plain(err)
+	}
+	if len(tree.Docs) > 1 {
+		return nil, errors.New("more than one document")
+	}
+	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(f); err != nil && err != io.EOF {
+		return nil, plain(err)
+	}
+	c := &checker{tree: tree}
+	c.peers(f, dir)
+	c.background(f)
+	c.log(f)
+	return f, errors.Join(c.faults...)
+}
+
+// plain is a library's error in one line: position and words, without the piece of source it shows.
+func plain(err error) error {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return errors.New(strings.TrimSpace(line))
+}
+
+// checker collects what is wrong and where.
+type checker struct {
+	tree   *ast.File
+	faults []error
+}
+
+// fault names a fault at a path such as $.peers.ask[0].address, or at the nearest place above it that is there.
+func (c *checker) fault(path, format string, v ...any) {
+	where := ""
+	for at := path; at != "" && where == ""; {
+		if p, err := yaml.PathString(at); err == nil {
+			if node, err := p.FilterFile(c.tree); err == nil && node != nil && node.GetToken() != nil {
+				pos := node.GetToken().Position
+				where = fmt.Sprintf("[%d:%d] ", pos.Line, pos.Column)
+			}
+		}
+		at = at[:max(0, strings.LastIndexAny(at, ".["))]
+	}
+	c.faults = append(c.faults, fmt.Errorf("%s%s: %s", where, strings.TrimPrefix(path, "$."), fmt.Sprintf(format, v...)))
+}
+
+func (c *checker) address(path, text string) {
+	if at, err := netip.ParseAddrPort(text); err != nil || at.Port() == 0 {
+		c.fault(path, "%q is no address with a port, such as 127.0.0.1:7400", text)
+	}
+}
+
+func (c *checker) name(path, text string) {
+	if text == "" || len(text) > learn.NameMost || strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		c.fault(path, "%.40q is no name: 1 to %d letters without blanks", text, learn.NameMost)
+	}
+}
+
+func (c *checker) peers(f *File, dir string) {
+	p := f.Peers
+	if p == nil {
+		return
+	}
+	if p.Name != "" {
+		c.name("$.peers.name", p.Name)
+	}
+	if len(p.Place) > learn.NameMost {
+		c.fault("$.peers.place", "over %d letters", learn.NameMost)
+	}
+	if p.Listen != "" {
+		c.address("$.peers.listen", p.Listen)
+	}
+	if p.Listen == "" && len(p.Allow) > 0 {
+		c.fault("$.peers.allow", "names are allowed, but nothing listens")
+	}
+	if len(p.Ask) > learn.PeersMost {
+		c.fault("$.peers.ask", "%d peers, %d at the most", len(p.Ask), learn.PeersMost)
+	}
+	seen := map[string]bool{}
+	for i, one := range p.Ask {
+		at := fmt.Sprintf("$.peers.ask[%d]", i)
+		c.name(at+".name", one.Name)
+		c.address(at+".address", one.Address)
+		if seen[one.Name] {
+			c.fault(at+".name", "%q is there twice", one.Name)
+		}
+		seen[one.Name] = true
+	}
+	for i, name := range p.Allow {
+		c.name(fmt.Sprintf("$.peers.allow[%d]", i), name)
+	}
+	if p.Refresh != 0 && (p.Refresh < refreshLow || p.Refresh > refreshMost) {
+		c.fault("$.peers.refresh", "%v is not from %v to %v", p.Refresh, refreshLow, refreshMost)
+	}
+	if p.TLS != nil {
+		for name, file := range map[string]*string{"certificate": &p.TLS.Certificate, "key": &p.TLS.Key,
+			"authorities": &p.TLS.Authorities} {
+			if *file == "" {
+				c.fault("$.peers.tls."+name, "is missing")
+			} else if !filepath.IsAbs(*file) {
+				*file = filepath.Join(dir, *file)
+			}
+		}
+	}
+}
+
+func (c *checker) background(f *File) {
+	for name, w := range f.Background {
+		at := "$.background." + name
+		known := false
+		for _, kind := range Kinds {
+			known = known || kind == name
+		}
+		switch {
+		case !known:
+			c.fault(at, "no such kind of work; there are %s", strings.Join(Kinds, " and "))
+		case w.BytesPerSecond != 0 && !(w.BytesPerSecond >= rateLow):
+			c.fault(at+".bytes_per_second", "%g is under %d", w.BytesPerSecond, rateLow)
+		case w.CPUPerSecond != 0 && !(w.CPUPerSecond > 0 && w.CPUPerSecond <= cpuMost):
+			c.fault(at+".cpu_per_second", "%g is not above 0 and up to %g", w.CPUPerSecond, cpuMost)
+		case w.Concurrent < 0 || w.Concurrent > jobsMost:
+			c.fault(at+".concurrent", "%d is not from 1 to %d", w.Concurrent, jobsMost)
+		}
+	}
+	all := map[string]Work{}
+	for _, kind := range Kinds {
+		w := f.Background[kind]
+		if w.BytesPerSecond == 0 {
+			w.BytesPerSecond = defaultRate
+		}
+		if w.CPUPerSecond == 0 {
+			w.CPUPerSecond = defaultCPU
+		}
+		if w.Concurrent == 0 {
+			w.Concurrent = defaultJobs
+		}
+		all[kind] = w
+	}
+	f.Background = all
+}
+
+func (c *checker) log(f *File) {
+	switch f.Log.Format {
+	case "":
+		f.Log.Format = "text"
+	case "text", "json", "terminal":
+	default:
+		c.fault("$.log.format", "%q is not text, json or terminal", f.Log.Format)
+	}
+	switch f.Log.Level {
+	case "":
+		f.Log.Level = "info"
+	case "debug", "info", "warn", "error":
+	default:
+		c.fault("$.log.level", "%q is not debug, info, warn or error", f.Log.Level)
+	}
+}
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -23,6 +23,11 @@
 	ProbeResult(replica, ending string, wait int64, report map[string]float64)
 	// Timer is a wake-up that was asked for.
 	Timer(label uint64)
+	// Know hands out what was found first hand, from the replica at a place on and so many of them; it
+	// returns where to go on, 0 at the end of the list.
+	Know(from, most int, tell func(b Belief)) (next int)
+	// Hear takes in what was heard of the fleet, a zone or a replica, in the place of what was heard before.
+	Hear(h Heard)
 	// EndOfBatch closes the turn: what waits is looked at once more.
 	EndOfBatch()
 }
@@ -48,3 +53,48 @@
 	// Note adds a line for the operators.
 	Note(text string)
 }
+
+// What a Belief or Heard is of.
+const (
+	OfReplica = iota
+	OfZone
+	OfFleet
+)
+
+// ShortSpan and LongSpan are the e-fold times of the two memories, in tenths of a millisecond: what was heard goes
+// on decaying by them on its way.
+const (
+	ShortSpan = paceSpan
+	LongSpan  = pastSpan
+)
+
+// Tally is a decayed count and a mean: of the logarithms of answer times in tenths of a millisecond, or, where it
+// was heard, of their logarithms over the usual one's.
+type Tally struct{ N, Mean float64 }
+
+// Belief is what own sub-requests have shown, as it is now.
+type Belief struct {
+	Of          int
+	Replica     string
+	Zone        int
+	Since       int64 // the replica's start, as the list has it
+	Short, Long Tally // short and long memory; of the fleet, the usual and the shortest answer time
+	Strikes     int   // errors or refusals in a row
+	Refused     int   // connects that failed in a row
+	Quiet       int   // parts unanswered
+	Silent      int64 // for how long
+	Age         int64 // of its last answer, -1 for none
+	Bad         bool  // it is a suspect here
+}
+
+// Heard is what is told of another's Belief, weighed: of a replica or zone, how much slower than usual it is.
+type Heard struct {
+	Of              int
+	Replica         string
+	Zone            int
+	Since           int64
+	Short, Long     Tally
+	Bad             bool
+	Lasts           int64   // how long Bad may count
+	Usual, Shortest float64 // of the fleet, in tenths of a millisecond, 0 for unknown
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,23 +50,28 @@
 	copyAgain  = 1_000 // wait before an overdue part is looked at again
 	copyParts  = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
 
-	coldPart  = 0.6    // of the stated multiple of what a cold replica can do: the rest is for chance
-	parkLook  = 200    // wait before parts that no replica may take are looked at again
-	answerPad = 150    // time kept before a client's limit, beside two ticks: the final answer must not be late
-	askFirst  = 5_000  // wait before a failed subscription is asked again
-	askMost   = 80_000 // longest such wait, cut to what the rules allow
-	windowPad = 20     // kept off the windows of rules against rounding
-	usefulPad = 1.4    // spread of a search's time over its mean when asking whether it can still be useful
-	shareSpan = 20_000 // of a tenant's rate that may come at once: bursts of a few seconds are within its share
-	retryLeft = 0.5    // of the latency target left to a client's new try: its first was shed early or came late
-	lateWorth = 0.05   // late share up to which a late answer is not worth going on for
+	coldPart  = 0.6     // of the stated multiple of what a cold replica can do: the rest is for chance
+	parkLook  = 200     // wait before parts that no replica may take are looked at again
+	answerPad = 150     // time kept before a client's limit, beside two ticks: the final answer must not be late
+	askFirst  = 5_000   // wait before a failed subscription is asked again
+	askMost   = 80_000  // longest such wait, cut to what the rules allow
+	windowPad = 20      // kept off the windows of rules against rounding
+	usefulPad = 1.4     // spread of a search's time over its mean when asking whether it can still be useful
+	shareSpan = 20_000  // of a tenant's rate that may come at once: bursts of a few seconds are within its share
+	retryLeft = 0.5     // of the latency target left to a client's new try: its first was shed or came late
+	lateWorth = 0.05    // late share up to which a late answer is not worth going on for
+	heardMost = 3.0     // answers that hearsay weighs at the most: as many own ones replace it
+	heardSlow = 8.0     // times the usual that is believed by hearsay: more would only be a larger lie
+	heardSpan = 300_000 // longest that hearsay counts: a trouble of half a minute ago has often passed
+	heardSway = 4.0     // times by which a heard usual answer time may miss the assumed one
+	heardBest = 0.4     // of the usual time, under which no heard shortest counts: alone it closes no slots
 )
 
 func New(out Out) Coordinator {
 	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
 		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){},
 		holding: map[int][]*replica{}, full: map[int]bool{}, flying: map[*try]bool{},
-		askWait: askFirst, limit: math.Inf(1)}
+		askWait: askFirst, limit: math.Inf(1), firstUsual: firstPace}
 }
 
 func (c *coordinator) Clock(now int64) { c.now = now; clear(c.full) }
@@ -118,6 +123,7 @@
 			c.list = append(c.list, r)
 		} else if since > r.since {
 			r.since, r.pace, r.past, r.quiet, r.strikes, r.refused = since, sum{}, sum{}, 0, 0, 0
+			r.short, r.long, r.doubtTo = hearsay{}, hearsay{}, 0
 			r.credit, r.creditAt = c.chance.Float64(), c.now
 		}
 		r.cell, r.zone, r.open = cell, zone, status == "healthy"
@@ -343,7 +349,7 @@
 func (c *coordinator) common() float64 {
 	n, total := c.pace.read(c.now, fleetSpan)
 	if c.usualAt != c.now || c.usualN != n {
-		c.usual, c.usualAt, c.usualN = math.Exp((total+math.Log(firstPace))/(n+1)), c.now, n
+		c.usual, c.usualAt, c.usualN = math.Exp((total+math.Log(c.firstUsual))/(n+1)), c.now, n
 	}
 	return c.usual
 }
@@ -370,7 +376,7 @@
 	var best *replica
 	least, ties, sound := math.Inf(1), 0, false
 	for _, r := range c.holders(p.shard) {
-		bad := c.suspect(r)
+		bad, doubt := c.suspect(r), c.doubted(r)
 		sound = sound || !bad
 		out := func(t *try) bool { return t.r == r && !t.settled }
 		if !c.room(r) || !c.coldRoom(r) || slices.ContainsFunc(p.tries, out) {
@@ -380,10 +386,12 @@
 		if c.thin() {
 			load += 1 - 1/(1+c.habit(r)*(1+tieChance*c.chance.Float64()))
 		}
-		if bad {
+		if bad || doubt {
 			// Guards against replicas that take parts and answer none, or refuse: used only where no sound one
-			// holds the shard, full or not, but for a trial part now and then, so that suspicion heals.
-			load += 1e6
+			// holds the shard, full or not (heard of only: or all are full), but for trial parts: it may heal.
+			if load += 1e5; bad {
+				load += 1e6
+			}
 			if c.now >= max(r.trialAt, c.trialAt) && len(p.tries) == 0 && c.effect(p.s) == "retryable" {
 				load = -1
 			}
@@ -417,6 +425,9 @@
 func (c *coordinator) room(r *replica) bool {
 	share := min(1, slackRatio*c.shortest()/(c.common()*c.slowness(r)))
 	n := len(r.tries)
+	if c.doubted(r) {
+		return n == 0
+	}
 	return float64(n) < max(1, oneReplica*slotsPerReplica*share) ||
 		float64(c.now-r.tries[n-1].sent) > c.silence()
 }
@@ -430,19 +441,21 @@
 // habit is a replica's answer time over the fleet's, in a longer memory.
 func (c *coordinator) habit(r *replica) float64 {
 	n, total := r.past.read(c.now, pastSpan)
-	return math.Exp((total - n*math.Log(c.common())) / (n + 1))
+	more, slower := c.heard(r.long, pastSpan, n)
+	return math.Exp((total - n*math.Log(c.common()) + slower) / (n + more + 1))
 }
 
 // slowness is a replica's answer time over the fleet's, parts that are still out counted by their age.
 func (c *coordinator) slowness(r *replica) float64 {
 	n, total := r.pace.read(c.now, paceSpan)
 	common := math.Log(c.common())
+	more, slower := c.heard(r.short, paceSpan, n)
 	for _, t := range r.tries {
 		if age := math.Log(float64(max(1, c.now-t.sent))); age > common {
 			n, total = n+1, total+age
 		}
 	}
-	return math.Exp((total+priorParts*common)/(n+priorParts) - common)
+	return math.Exp((total+slower+(more+priorParts)*common)/(n+more+priorParts) - common)
 }
 
 // away guards against a slow or lossy way to a zone, or a zone slow as a whole: its answers take far longer
@@ -452,7 +465,8 @@
 	own, least := 0.0, math.Inf(1)
 	for i := range c.ways {
 		n, total := c.ways[i].pace.read(c.now, paceSpan)
-		mean := (total + priorParts*math.Log(c.common())) / (n + priorParts)
+		more, slower := c.heard(c.ways[i].heard, paceSpan, n)
+		mean := (total + slower + (more+priorParts)*math.Log(c.common())) / (n + more + priorParts)
 		if least = min(least, mean); i == zone {
 			own = mean
 		}
@@ -471,7 +485,7 @@
 	if r.refused > 0 || r.strikes >= strikeOut {
 		return true
 	}
-	return r.quiet >= quietTries && float64(c.now-r.quietSince) > c.silence()
+	return (r.quiet >= quietTries || r.quiet > 0 && c.doubted(r)) && float64(c.now-r.quietSince) > c.silence()
 }
 
 func (c *coordinator) warm(r *replica) bool {
@@ -534,7 +548,7 @@
 		c.count(&c.further)
 		p.s.copies++
 	}
-	if c.suspect(r) {
+	if c.suspect(r) || c.doubted(r) {
 		r.trialAt, c.trialAt = c.now+trialWait, c.now+trialEach
 	} else if c.away(r.zone) {
 		c.ways[r.zone].trialAt = c.now + trialWait
@@ -638,7 +652,7 @@
 		if r.refused >= restartSign && c.warm(r) {
 			r.since, r.credit, r.creditAt = c.now, c.chance.Float64(), c.now // back before the list says so
 		}
-		t.maybe, r.strikes, r.refused = true, 0, 0
+		t.maybe, r.strikes, r.refused, r.doubtTo, r.answered = true, 0, 0, 0, c.now
 		r.quiet, r.quietSince = len(r.tries), c.now
 		r.took(c.now, pace)
 		c.ways[r.zone].pace.add(c.now, paceSpan, pace)
@@ -851,3 +865,61 @@
 	b.left--
 	return false
 }
+
+// Know hands out what own sub-requests have shown: the fleet and zones first, then so many replicas a call,
+// those with nothing to tell left out. What was heard is not in it: a rumour would go round and count twice.
+func (c *coordinator) Know(from, most int, tell func(b Belief)) (next int) {
+	if from == 0 {
+		n, _ := c.pace.read(c.now, fleetSpan)
+		tell(Belief{Of: OfFleet, Short: Tally{n, math.Log(c.common())}, Long: Tally{n, math.Log(max(1, c.best))}})
+		for zone := range c.ways {
+			tell(Belief{Of: OfZone, Zone: zone, Short: c.ways[zone].pace.tally(c.now, paceSpan)})
+		}
+	}
+	to := min(len(c.list), max(from, from+most))
+	for _, r := range c.list[min(from, to):to] {
+		if r.answered != 0 || r.quiet != 0 || r.refused != 0 || r.strikes != 0 {
+			tell(r.belief(c.now, c.suspect(r)))
+		}
+	}
+	return to % max(1, len(c.list))
+}
+
+// Hear takes a heard belief in, in the place of the one before. Guards against a start that knows nothing,
+// and against peers that are wrong: hearsay only takes from a replica, weighs heardMost answers at the most,
+// gives way to own ones, and fades. A replica said to be bad comes after the others, with one part at a time,
+// until it answers here: no peer can take it away.
+func (c *coordinator) Hear(h Heard) {
+	c.stirs++
+	take := func(t Tally) hearsay {
+		return hearsay{min(heardMost, t.N), max(0, min(math.Log(heardSlow), t.Mean)), c.now}
+	}
+	switch r := c.fleet[h.Replica]; {
+	case h.Of == OfFleet && h.Usual > 0:
+		c.firstUsual, c.usualAt = max(firstPace/heardSway, min(firstPace*heardSway, h.Usual)), 0
+		if c.best == 0 && h.Shortest > 0 {
+			c.best, c.bestAt = min(c.common(), max(h.Shortest, heardBest*c.common())), c.now
+		}
+	case h.Of == OfZone && h.Zone >= 0 && h.Zone < len(c.ways):
+		c.ways[h.Zone].heard = take(h.Short)
+	case h.Of == OfReplica && r != nil && r.since == h.Since:
+		r.short, r.long, r.doubtTo = take(h.Short), take(h.Long), 0
+		if n, _ := r.past.read(c.now, pastSpan); h.Bad && n < 1 {
+			r.doubtTo = c.now + min(heardSpan, h.Lasts)
+			r.trialAt = max(r.trialAt, c.now+c.chance.Int63n(trialWait)) // not all learners' trials at once
+		}
+	}
+}
+
+// heard is what hearsay adds to own answers: a count, and how far it is over the usual, of logarithms.
+func (c *coordinator) heard(h hearsay, span, own float64) (n, slower float64) {
+	age := float64(c.now - h.at)
+	if h.n == 0 || age > heardSpan {
+		return 0, 0
+	}
+	n = max(0, h.n*math.Exp(-age/span)-own)
+	return n, n * h.slower
+}
+
+// doubted tells whether a replica was said to be bad and has not answered here since.
+func (c *coordinator) doubted(r *replica) bool { return c.now < r.doubtTo }
--- a/logic/state.go
+++ b/logic/state.go
@@ -52,6 +52,8 @@
 	stirs               int // moves of what inFlight counts
 	flight, flightStirs int // inFlight's last count, and when it was made
 	flightAt            int64
+
+	firstUsual float64 // answer time assumed before any is known
 }
 
 // search is one search this co-ordinator holds.
@@ -117,6 +119,7 @@
 // way is what own answers show of a zone.
 type way struct {
 	pace    sum // logarithms of answer times
+	heard   hearsay
 	trialAt int64
 }
 
@@ -141,6 +144,10 @@
 	trialAt    int64
 	credit     float64
 	creditAt   int64
+
+	answered    int64   // its last own answer, 0 for none
+	short, long hearsay // of pace and past
+	doubtTo     int64   // said to be bad, until then
 }
 
 func (r *replica) took(now int64, pace float64) {
@@ -148,6 +155,13 @@
 	r.past.add(now, pastSpan, pace)
 }
 
+// hearsay is a heard count of answers and how much longer than usual they took, as a mean of logarithms, as it
+// was at a time; it goes on decaying.
+type hearsay struct {
+	n, slower float64
+	at        int64
+}
+
 // sum is a decaying count and a decaying total, brought up to date when read.
 type sum struct {
 	n, total  float64
@@ -176,3 +190,24 @@
 	n, _ := m.read(now, span)
 	return n / (span * (1 - math.Exp(-max(least, float64(now-m.start))/span)))
 }
+
+func (m *sum) tally(now int64, span float64) Tally {
+	n, total := m.read(now, span)
+	if n == 0 {
+		return Tally{}
+	}
+	return Tally{n, total / n}
+}
+
+// belief is what travels of a replica.
+func (r *replica) belief(now int64, bad bool) Belief {
+	b := Belief{Of: OfReplica, Replica: r.id, Zone: r.zone, Since: r.since, Strikes: r.strikes, Refused: r.refused,
+		Quiet: r.quiet, Age: -1, Bad: bad, Short: r.pace.tally(now, paceSpan), Long: r.past.tally(now, pastSpan)}
+	if r.quiet > 0 {
+		b.Silent = now - r.quietSince
+	}
+	if r.answered > 0 {
+		b.Age = now - r.answered
+	}
+	return b
+}
--- /dev/null
+++ b/peer/asking.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"chalkring/learn"
+)
+
+// Asking asks one peer once.
+type Asking struct {
+	Peer, Addr string // its name, as it must call itself, and where it listens
+	Me         string // the own name
+	Instance   uint64
+	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
+	Keys       *Keys // nil for plain TCP
+	// Head and Notes take what comes, as it comes; Spend takes the bytes from a budget and may wait. Guards
+	// against a report that is too large for what may be spent: it is taken slowly, and in time or not at all.
+	Head  func(h learn.Head) error
+	Notes func(notes []learn.Note) error
+	Spend func(ctx context.Context, bytes int) error
+}
+
+// Run asks for a report and returns once it is whole or will not be. Guards against a peer that is unreachable,
+// silent, slow, endless, noise, or not the one that was meant: each ends within wholeTime, with what is held
+// bounded by one frame.
+func (a *Asking) Run(ctx context.Context) (how learn.Outcome, later time.Duration, err error) {
+	ctx, stop := context.WithTimeout(ctx, wholeTime)
+	defer stop()
+	conn, err := a.connect(ctx)
+	if err != nil {
+		return learn.Failed, 0, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if err := a.send(conn, wantReport); err != nil {
+		return learn.Failed, 0, err
+	}
+	src, total, sum := bufio.NewReader(conn), 0, summer()
+	var room []byte
+	for open := false; ; {
+		conn.SetReadDeadline(time.Now().Add(frameTime))
+		var kind byte
+		var rest []byte
+		if kind, rest, room, err = readFrame(src, room); err != nil {
+			return learn.Failed, 0, err
+		}
+		if total += len(rest) + 5; total > totalMost {
+			return learn.Failed, 0, fmt.Errorf("%w: over %d bytes", ErrBad, totalMost)
+		}
+		if a.Spend != nil {
+			if err = a.Spend(ctx, len(rest)+5); err != nil {
+				return learn.Failed, 0, err
+			}
+		}
+		switch {
+		case kind == kindLater && !open:
+			var ms uint32
+			err = decode(rest, &ms)
+			return learn.Later, time.Duration(ms) * time.Millisecond, err
+		case kind == kindNo && !open:
+			return refused(rest)
+		case kind == kindHead && !open:
+			var h learn.Head
+			if h, err = DecodeHead(rest); err != nil {
+				return learn.Failed, 0, err
+			}
+			if h.Peer != a.Peer {
+				return learn.Refused, 0, fmt.Errorf("it calls itself %q, not %q", h.Peer, a.Peer)
+			}
+			open = true
+			err = a.Head(h)
+		case kind == kindNotes && open:
+			sum.Write(rest)
+			var notes []learn.Note
+			if notes, err = DecodeNotes(rest); err == nil {
+				err = a.Notes(notes)
+			}
+		case kind == kindEnd && open:
+			var told []byte
+			if err = decode(rest, &told); err == nil {
+				if len(told) != sumBytes || binary.BigEndian.Uint64(told) != sum.Sum64() {
+					err = fmt.Errorf("%w: checksum", ErrBad)
+				}
+			}
+			if err != nil {
+				return learn.Failed, 0, err
+			}
+			return learn.Told, 0, nil
+		default:
+			err = fmt.Errorf("%w: frame %q out of turn", ErrBad, kind)
+		}
+		if err != nil {
+			return learn.Failed, 0, err
+		}
+	}
+}
+
+// Status asks a peer how it stands.
+func (a *Asking) Status(ctx context.Context) (s Status, err error) {
+	ctx, stop := context.WithTimeout(ctx, wholeTime)
+	defer stop()
+	conn, err := a.connect(ctx)
+	if err != nil {
+		return s, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if err = a.send(conn, wantStatus); err != nil {
+		return s, err
+	}
+	conn.SetReadDeadline(time.Now().Add(frameTime))
+	kind, rest, _, err := readFrame(bufio.NewReader(conn), nil)
+	switch {
+	case err != nil:
+		return s, err
+	case kind == kindNo:
+		_, _, err = refused(rest)
+		return s, err
+	case kind != kindStatus:
+		return s, fmt.Errorf("%w: frame %q", ErrBad, kind)
+	}
+	return s, decode(rest, &s)
+}
+
+func refused(rest []byte) (learn.Outcome, time.Duration, error) {
+	var n no
+	if err := decode(rest, &n); err != nil {
+		return learn.Failed, 0, err
+	}
+	err := fmt.Errorf("refused (%.20s): %.200s", n.Code, n.Words)
+	if n.Code == noSelf {
+		return learn.Myself, 0, err
+	}
+	return learn.Refused, 0, err
+}
+
+// connect dials, and shakes hands where there are keys.
+func (a *Asking) connect(ctx context.Context) (net.Conn, error) {
+	up, stop := context.WithTimeout(ctx, dialTime)
+	defer stop()
+	conn, err := a.Dial(up, "tcp", a.Addr)
+	if err != nil || a.Keys == nil {
+		return conn, err
+	}
+	conf, err := a.Keys.client(a.Peer)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	secure := tls.Client(conn, conf)
+	shake, stop2 := context.WithTimeout(ctx, helloTime)
+	defer stop2()
+	if err = secure.HandshakeContext(shake); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("handshake: %w", err)
+	}
+	return secure, nil
+}
+
+func (a *Asking) send(conn net.Conn, want string) error {
+	b, err := appendFrame(nil, kindHello, hello{Version: version, Name: a.Me, Instance: a.Instance, Want: want})
+	if err != nil {
+		return err
+	}
+	conn.SetWriteDeadline(time.Now().Add(frameTime))
+	_, err = conn.Write(b)
+	return err
+}
+
+// Unsafe tells whether an error says that a peer sent what it must not, rather than that it could not be reached.
+func Unsafe(err error) bool { return errors.Is(err, ErrBad) }
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chalkring/learn"
+)
+
+// Server answers askers. What it is given may wait; none of it is the owner's goroutine.
+type Server struct {
+	Name     string
+	Instance uint64
+	Allow    []string // names that may ask
+	Keys     *Keys    // nil for plain TCP, where names are taken as they are told
+	// Admit tells whether an asker is answered now, or else when it is to come back; Done follows each that was.
+	Admit func(name string) (ok bool, later time.Duration)
+	Done  func()
+	// Report gives what is known now; Spend takes bytes from a budget.
+	Report func(ctx context.Context) (learn.Head, []learn.Note, error)
+	Status func(ctx context.Context) (Status, error)
+	Spend  func(ctx context.Context, bytes int) error
+	// Refused is told of askers that got no answer; strangers can bring that about at will.
+	Refused func(addr, why string)
+}
+
+// Serve answers until ctx ends or the listener is closed, and then returns with no goroutine left.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	room := make(chan struct{}, connsMost)
+	g.Go(func() error {
+		for {
+			select {
+			case room <- struct{}{}:
+			case <-ctx.Done():
+				return nil
+			}
+			conn, err := ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				<-room
+				select {
+				case <-time.After(acceptPause):
+				case <-ctx.Done():
+				}
+				continue
+			}
+			g.Go(func() error {
+				defer func() { <-room }()
+				s.talk(ctx, conn)
+				return nil
+			})
+		}
+	})
+	return g.Wait()
+}
+
+// talk answers one asker.
+func (s *Server) talk(ctx context.Context, conn net.Conn) {
+	ctx, stop := context.WithTimeout(ctx, wholeTime)
+	defer stop()
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(helloTime))
+	addr, certified := conn.RemoteAddr().String(), []string(nil)
+	if s.Keys != nil {
+		conf, err := s.Keys.server()
+		if err != nil {
+			s.Refused(addr, err.Error())
+			return
+		}
+		secure := tls.Server(conn, conf)
+		if err := secure.HandshakeContext(ctx); err != nil {
+			s.Refused(addr, "handshake: "+err.Error())
+			return
+		}
+		certified = names(secure.ConnectionState())
+		conn = secure
+	}
+	kind, rest, _, err := readFrame(bufio.NewReaderSize(conn, 512), nil)
+	var h hello
+	if err == nil && kind == kindHello {
+		err = decode(rest, &h)
+	}
+	code, words := "", ""
+	switch {
+	case err != nil && !errors.Is(err, ErrBad):
+		s.Refused(addr, err.Error())
+		return
+	case err != nil:
+		code, words = noUse, err.Error()
+	case kind != kindHello:
+		code, words = noUse, "no hello"
+	case h.Version != version:
+		code, words = noVersion, "version 1 is spoken here"
+	case !slices.Contains(s.Allow, h.Name):
+		code, words = noName, "the name is not among those that may ask"
+	case s.Keys != nil && !slices.Contains(certified, h.Name):
+		code, words = noName, "the certificate is of another name"
+	case h.Instance == s.Instance && h.Want == wantReport:
+		code, words = noSelf, "you are talking to yourself"
+	}
+	conn.SetDeadline(time.Time{})
+	if code != "" {
+		if code != noSelf {
+			s.Refused(addr, words)
+		}
+		s.put(conn, kindNo, no{Code: code, Words: words[:min(len(words), wordsMost)]})
+		return
+	}
+	switch h.Want {
+	case wantStatus:
+		if st, err := s.Status(ctx); err == nil {
+			s.put(conn, kindStatus, st)
+		}
+	case wantReport:
+		ok, later := s.Admit(h.Name)
+		if !ok {
+			s.put(conn, kindLater, uint32(min(later, time.Hour).Milliseconds()))
+			return
+		}
+		defer s.Done()
+		s.report(ctx, conn)
+	default:
+		s.put(conn, kindNo, no{Code: noUse, Words: "nothing known is wanted"})
+	}
+}
+
+// report sends a report slice by slice. Each is encoded when the one before is out: one is held.
+func (s *Server) report(ctx context.Context, conn net.Conn) {
+	head, notes, err := s.Report(ctx)
+	if err != nil {
+		s.put(conn, kindLater, uint32(time.Second.Milliseconds()))
+		return
+	}
+	sum := summer()
+	if s.put(conn, kindHead, head) != nil {
+		return
+	}
+	for part := range slices.Chunk(notes, learn.SliceMost) {
+		b, err := appendFrame(nil, kindNotes, part)
+		if err != nil {
+			s.Refused(conn.RemoteAddr().String(), err.Error())
+			return
+		}
+		sum.Write(b[5:])
+		if s.Spend != nil && s.Spend(ctx, len(b)) != nil {
+			return
+		}
+		conn.SetWriteDeadline(time.Now().Add(frameTime))
+		if _, err := conn.Write(b); err != nil {
+			return
+		}
+	}
+	s.put(conn, kindEnd, binary.BigEndian.AppendUint64(nil, sum.Sum64()))
+}
+
+func (s *Server) put(conn net.Conn, kind byte, v any) error {
+	b, err := appendFrame(nil, kind, v)
+	if err == nil {
+		conn.SetWriteDeadline(time.Now().Add(frameTime))
+		_, err = conn.Write(b)
+	}
+	return err
+}
