--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -32,12 +32,12 @@
 	c.want("q1", "all", 200, wholeOfAll)
 	c.want("q2", "all", 200, wholeOfAll) // the connection stays
 	for _, id := range []string{"a0", "a1", "b0", "b1"} {
-		parts, _, conns, _ := r.replicas[id].seen()
+		parts, _, conns, _ := r.replicas[id].Seen()
 		require.LessOrEqual(t, conns, 1, "connections are used again")
 		for _, p := range parts {
-			require.Equal(t, r.replicas[id].cell, p.shard%2)
-			require.Equal(t, "what", p.text)
-			require.Regexp(t, `^d=[1-9][0-9]{3}$`, p.list)
+			require.Equal(t, r.replicas[id].Cell, p.Shard%2)
+			require.Equal(t, "what", p.Text)
+			require.Regexp(t, `^d=[1-9][0-9]{3}$`, p.List)
 		}
 	}
 	for i := range 30 { // a request split at any byte is one request
@@ -59,22 +59,22 @@
 	r := start(t, 256, nil)
 	scores := []string{"5", "18446744073709551616", "-3", "5"}
 	for _, s := range r.replicas {
-		s.set(func(a asked) {
-			if strings.HasSuffix(a.id, ".r") {
-				a.good()
+		s.Set(func(a asked) {
+			if strings.HasSuffix(a.ID, ".r") {
+				a.Good()
 				return
 			}
-			a.reply("good", scores[a.shard], "first")
+			a.Reply("good", scores[a.Shard], "first")
 		})
 	}
 	r.call().want("q", "deep", 200, `{"total":true,"answers":[{"range":1,"blob":"what@1!"},{"range":0,"blob":"what@0!"}]}`)
 	var second []string
 	for _, s := range r.replicas {
-		parts, _, _, _ := s.seen()
+		parts, _, _, _ := s.Seen()
 		for _, p := range parts {
-			if strings.HasSuffix(p.id, ".r") {
-				_, rest, _ := strings.Cut(p.list, ",")
-				second = append(second, p.id+" "+rest)
+			if strings.HasSuffix(p.ID, ".r") {
+				_, rest, _ := strings.Cut(p.List, ",")
+				second = append(second, p.ID+" "+rest)
 			}
 		}
 	}
@@ -154,7 +154,7 @@
 		}
 	}
 	for _, s := range r.replicas {
-		parts, _, _, _ := s.seen()
+		parts, _, _, _ := s.Seen()
 		require.Empty(t, parts)
 	}
 	chunked := strings.Replace(ok, "Content-Length: "+fmt.Sprint(len(fourParts)), "Transfer-Encoding: chunked", 1)
@@ -171,7 +171,7 @@
 	r := start(t, 256, nil)
 	var got atomic.Int32
 	for _, s := range r.replicas {
-		s.set(func(asked) { got.Add(1) })
+		s.Set(func(asked) { got.Add(1) })
 	}
 	c := r.call().send(request("q", "all", "", fourParts))
 	r.eventually("parts are out", func() bool { return got.Load() == 4 })
@@ -179,7 +179,7 @@
 	r.eventually("parts are given up", func() bool {
 		n := 0
 		for _, s := range r.replicas {
-			_, given, _, _ := s.seen()
+			_, given, _, _ := s.Seen()
 			n += len(given)
 		}
 		return n == 4
@@ -192,22 +192,22 @@
 	r := start(t, 256, nil)
 	held := make(chan asked, 1)
 	for _, s := range r.replicas {
-		s.set(func(a asked) {
-			if a.shard == 3 && a.text == "what" && strings.HasPrefix(a.id, "q1") {
+		s.Set(func(a asked) {
+			if a.Shard == 3 && a.Text == "what" && strings.HasPrefix(a.ID, "q1") {
 				held <- a
 				return
 			}
-			a.good()
+			a.Good()
 		})
 	}
 	c := r.call()
 	c.want("q1", "some", 200, "")
 	a := <-held
-	a.good()
-	a.reply("good", "1", "unknown part")
+	a.Good()
+	a.Reply("good", "1", "unknown part")
 	c.want("q2", "all", 200, wholeOfAll)
 	for _, s := range r.replicas {
-		_, _, conns, _ := s.seen()
+		_, _, conns, _ := s.Seen()
 		require.LessOrEqual(t, conns, 1)
 	}
 	require.NotContains(t, r.log.String(), "bad_frame")
@@ -219,7 +219,7 @@
 	r := start(t, 256, nil)
 	gate := make(chan struct{})
 	for _, s := range r.replicas {
-		s.set(func(a asked) { go func() { <-gate; a.good() }() })
+		s.Set(func(a asked) { go func() { <-gate; a.Good() }() })
 	}
 	c := r.call().send(request("same", "all", "", fourParts))
 	r.eventually("parts are out", func() bool { return r.parts() == 4 })
@@ -238,7 +238,7 @@
 func TestSentAhead(t *testing.T) {
 	r := start(t, 256, nil)
 	for _, s := range r.replicas {
-		s.set(func(asked) {})
+		s.Set(func(asked) {})
 	}
 	c := r.call().send(request("first", "all", "", fourParts))
 	r.eventually("parts are out", func() bool { return r.parts() == 4 })
@@ -246,7 +246,7 @@
 	require.Equal(t, 400, status)
 	require.False(t, keep)
 	for id := range r.replicas {
-		r.replicas[id].set(asked.good)
+		r.replicas[id].Set(asked.Good)
 	}
 	r.call().want("last", "all", 200, wholeOfAll)
 	require.Equal(t, 8, r.parts())
@@ -259,7 +259,7 @@
 	r := start(t, 16, nil)
 	held := make(chan asked, 4)
 	for _, s := range r.replicas {
-		s.set(func(a asked) { held <- a })
+		s.Set(func(a asked) { held <- a })
 	}
 	busy := r.call().send(request("q", "all", "", fourParts))
 	r.eventually("parts are out", func() bool { return len(held) == 4 })
@@ -274,7 +274,7 @@
 	r.logged("end=displaced")
 	require.LessOrEqual(t, strings.Count(r.log.String(), "end=displaced"), 2, "a line a second")
 	for range 4 {
-		(<-held).good()
+		(<-held).Good()
 	}
 	status, _, text, _ := busy.answer()
 	require.Equal(t, 200, status)
@@ -284,41 +284,41 @@
 
 // Whatever a replica does to a connection, the part goes on elsewhere and a bad frame is no answer.
 func TestWhatBadReplicasGet(t *testing.T) {
-	raw := func(text string) func(a asked) { return func(a asked) { a.conn.Write([]byte(text)) } }
+	raw := func(text string) func(a asked) { return func(a asked) { a.Conn.Write([]byte(text)) } }
 	framed := func(letter byte, text string) func(a asked) {
-		return func(a asked) { a.conn.Write(frame.End(append(frame.Begin(nil, letter), text...), 0)) }
+		return func(a asked) { a.Conn.Write(frame.End(append(frame.Begin(nil, letter), text...), 0)) }
 	}
 	for _, x := range []struct {
 		name string
 		do   func(a asked)
 		log  string
 	}{
-		{"reset", func(a asked) { a.conn.(*net.TCPConn).SetLinger(0); a.conn.Close() }, "end=broken"},
-		{"close", func(a asked) { a.conn.Close() }, "end="},
+		{"reset", func(a asked) { a.Conn.(*net.TCPConn).SetLinger(0); a.Conn.Close() }, "end=broken"},
+		{"close", func(a asked) { a.Conn.Close() }, "end="},
 		{"no length", raw("\x00\x00\x00\x00"), "end=garbled"},
 		{"too long", raw("\x7f\x00\x00\x00q"), "end=garbled"},
-		{"cut off", func(a asked) { a.conn.Write([]byte("\x00\x00\x00\x10qabc")); a.conn.Close() }, "end=broken"},
+		{"cut off", func(a asked) { a.Conn.Write([]byte("\x00\x00\x00\x10qabc")); a.Conn.Close() }, "end=broken"},
 		{"unknown letter", framed('z', "x"), "end=garbled"},
 		{"no line", framed('q', "x"), "end=garbled"},
-		{"unknown end", func(a asked) { a.reply("fine", "1", "x") }, "end=garbled"},
-		{"no score", func(a asked) { a.reply("good", "-", "x") }, "end=garbled"},
-		{"bad score", func(a asked) { a.reply("good", "1.5", "x") }, "end=garbled"},
-		{"long score", func(a asked) { a.reply("good", strings.Repeat("9", 41), "x") }, "end=garbled"},
-		{"no text", func(a asked) { a.reply("good", "1", "\xff") }, "end=garbled"},
-		{"another id", func(a asked) { a.id += "0"; a.good() }, "end=garbled"},
+		{"unknown end", func(a asked) { a.Reply("fine", "1", "x") }, "end=garbled"},
+		{"no score", func(a asked) { a.Reply("good", "-", "x") }, "end=garbled"},
+		{"bad score", func(a asked) { a.Reply("good", "1.5", "x") }, "end=garbled"},
+		{"long score", func(a asked) { a.Reply("good", strings.Repeat("9", 41), "x") }, "end=garbled"},
+		{"no text", func(a asked) { a.Reply("good", "1", "\xff") }, "end=garbled"},
+		{"another id", func(a asked) { a.ID += "0"; a.Good() }, "end=garbled"},
 		{"a length that does not come", raw("\x00\x00\x01\x00qabc"), "end=slow"},
 		{"refused", framed('r', "what is that"), `event=frame_refused replica=a0 words="what is that"`},
-		{"bad", func(a asked) { a.reply("bad", "-", "") }, ""},
-		{"later", func(a asked) { a.reply("later", "-", "") }, ""},
+		{"bad", func(a asked) { a.Reply("bad", "-", "") }, ""},
+		{"later", func(a asked) { a.Reply("later", "-", "") }, ""},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			r := start(t, 256, nil)
 			c := r.call()
-			r.replicas["a0"].set(x.do)
+			r.replicas["a0"].Set(x.do)
 			for i := range 20 { // until one of them met a0
 				c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
-				if parts, _, _, _ := r.replicas["a0"].seen(); len(parts) > 0 {
+				if parts, _, _, _ := r.replicas["a0"].Seen(); len(parts) > 0 {
 					break
 				}
 			}
@@ -332,17 +332,17 @@
 // the replicas take as much as before.
 func TestSpoiltIsNoCrash(t *testing.T) {
 	r := start(t, 256, nil)
-	r.list.answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s,%s]}`, r.entry("a1", "draining"),
+	r.list.Answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s,%s]}`, r.entry("a1", "draining"),
 		r.entry("b1", "draining"))
 	r.logged("how=Partial")
 	var spoilt [2]atomic.Bool
 	for i, id := range []string{"a0", "b0"} {
-		r.replicas[id].set(func(a asked) {
+		r.replicas[id].Set(func(a asked) {
 			if spoilt[i].CompareAndSwap(false, true) {
-				a.conn.Write([]byte("noise in place of an answer"))
+				a.Conn.Write([]byte("noise in place of an answer"))
 				return
 			}
-			a.good()
+			a.Good()
 		})
 	}
 	c := r.call()
@@ -356,19 +356,19 @@
 // A good answer counts whatever comes behind it, and with a report that cannot be read.
 func TestGoodAnswerWithMore(t *testing.T) {
 	for name, more := range map[string]func(a asked){
-		"a copy":  func(a asked) { a.good() },
-		"noise":   func(a asked) { a.conn.Write([]byte("noise behind the answer")) },
+		"a copy":  func(a asked) { a.Good() },
+		"noise":   func(a asked) { a.Conn.Write([]byte("noise behind the answer")) },
 		"nothing": func(asked) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := start(t, 256, nil)
 			for _, s := range r.replicas {
-				s.set(func(a asked) {
+				s.Set(func(a asked) {
 					both := &strings.Builder{}
-					there := a.conn
-					a.conn = writes{there, both}
-					a.good()
+					there := a.Conn
+					a.Conn = writes{there, both}
+					a.Good()
 					more(a)
 					there.Write([]byte(strings.ReplaceAll(both.String(), " -\n", " ?\n")))
 				})
@@ -390,8 +390,8 @@
 	o := &owner{queue: make(chan func(), 4), ctx: context.Background(), log: newNotes(SystemClock{}, slog.DiscardHandler)}
 	l := &line{link: newLink(o.ctx, 1), r: &replica{id: "a0"}, past: map[string]uint64{"q.1": 1}}
 	go func() {
-		asked{id: "q.1", conn: there}.good()
-		asked{id: "q.1", conn: writesMore{there, []byte("noise")}}.good()
+		asked{ID: "q.1", Conn: there}.Good()
+		asked{ID: "q.1", Conn: writesMore{there, []byte("noise")}}.Good()
 	}()
 	heard := make(chan error, 1)
 	go func() { heard <- o.hear(l, here) }()
@@ -406,16 +406,16 @@
 // swallowed goes out again.
 func TestSilentConnection(t *testing.T) {
 	r := start(t, 256, func(s map[string]any) { s["Permissions"].(map[string]any)["DialTimeout"] = 100 })
-	r.list.answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry("a1", "draining"))
+	r.list.Answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry("a1", "draining"))
 	r.logged("how=Partial")
 	c, d := r.call(), r.call()
 	c.want("first", "all", 200, wholeOfAll)
 	var dead atomic.Value // the connection
-	r.replicas["a0"].set(func(a asked) {
-		if dead.CompareAndSwap(nil, a.conn) || dead.Load() == a.conn {
+	r.replicas["a0"].Set(func(a asked) {
+		if dead.CompareAndSwap(nil, a.Conn) || dead.Load() == a.Conn {
 			return
 		}
-		a.good()
+		a.Good()
 	})
 	c.send(request("swallowed", "all", "", fourParts))
 	r.eventually("it is out", func() bool { return dead.Load() != nil })
@@ -432,16 +432,16 @@
 // A search that fells replicas is given up while more of its parts are out on the connection that ended.
 func TestSearchThatFells(t *testing.T) {
 	r := start(t, 256, nil)
-	r.list.answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s,%s]}`, r.entry("a1", "draining"),
+	r.list.Answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s,%s]}`, r.entry("a1", "draining"),
 		r.entry("b1", "draining"))
 	r.logged("how=Partial")
 	reset := func(a asked) {
-		a.conn.(*net.TCPConn).SetLinger(0)
-		a.conn.Close()
+		a.Conn.(*net.TCPConn).SetLinger(0)
+		a.Conn.Close()
 	}
-	r.replicas["b0"].set(reset)
-	r.replicas["a0"].set(func(a asked) {
-		if a.shard == 2 {
+	r.replicas["b0"].Set(reset)
+	r.replicas["a0"].Set(func(a asked) {
+		if a.Shard == 2 {
 			r.logged("replica=b0")
 			reset(a)
 		}
@@ -451,8 +451,8 @@
 		{"range":2,"portion":0.4}],"predicate":"poison"}`))
 	status, _, _, _ := c.answer()
 	require.Equal(t, 503, status)
-	r.replicas["a0"].set(asked.good)
-	r.replicas["b0"].set(asked.good)
+	r.replicas["a0"].Set(asked.Good)
+	r.replicas["b0"].Set(asked.Good)
 	c.want("next", "all", 200, wholeOfAll)
 	r.end()
 }
@@ -464,17 +464,17 @@
 		s["Permissions"].(map[string]any)["DialTimeout"] = 100
 		s["Permissions"].(map[string]any)["ConnIdle"] = 100
 	})
-	r.replicas["a0"].set(func(asked) {})
+	r.replicas["a0"].Set(func(asked) {})
 	c := r.call()
 	for i := range 20 {
 		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
-		if parts, _, _, _ := r.replicas["a0"].seen(); len(parts) > 0 {
+		if parts, _, _, _ := r.replicas["a0"].Seen(); len(parts) > 0 {
 			break
 		}
 	}
 	for _, s := range r.replicas {
 		r.eventually("closed", func() bool {
-			_, _, conns, open := s.seen()
+			_, _, conns, open := s.Seen()
 			return conns > 0 && open == 0
 		})
 	}
@@ -524,7 +524,7 @@
 // A replica that refuses connections, and one that never was where the list says, cost no search.
 func TestReplicaDown(t *testing.T) {
 	r := start(t, 256, nil)
-	r.replicas["a0"].ln.Close()
+	r.replicas["a0"].Ln.Close()
 	c := r.call()
 	for i := range 20 {
 		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
@@ -560,39 +560,39 @@
 // for again.
 func TestListChanges(t *testing.T) {
 	r := start(t, 256, nil)
-	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.calls)
+	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.Calls)
 	said := func(version int, full bool, entries ...string) {
-		r.list.answers <- fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+		r.list.Answers <- fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(entries, ","))
 	}
 	said(8, false, r.entry("a0", "draining"), r.entry("b1", "removed"))
-	require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.calls)
+	require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.Calls)
 	r.logged("how=Partial version=8")
 	c := r.call()
 	for i := range 10 {
 		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
 	}
 	for _, id := range []string{"a0", "b1"} {
-		parts, _, _, _ := r.replicas[id].seen()
+		parts, _, _, _ := r.replicas[id].Seen()
 		require.Empty(t, parts)
 	}
-	_, _, _, open := r.replicas["a1"].seen()
+	_, _, _, open := r.replicas["a1"].Seen()
 	require.Equal(t, 1, open)
 	for _, id := range []string{"a1", "b0"} { // parts of one turn to one replica share a call
-		require.Equal(t, slices.Repeat([]int{2}, 10), r.replicas[id].calls())
+		require.Equal(t, slices.Repeat([]int{2}, 10), r.replicas[id].Calls())
 	}
 	for _, bad := range []string{`{"version":9,"full":false,"servers":[{"id":"a1","addr":"","state":"up","cell":0}]}`,
 		`{"version":9,"full":false,"servers":[{"id":"a1","addr":"127.0.0.1:1","state":"odd","cell":0}]}`,
 		`{"version":9`, `{"version":6,"full":true,"servers":[]}`, `{"version":8,"full":false,"servers":[]}`,
 		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 nonsense\r\n\r\n", ""} {
-		r.list.answers <- bad
-		require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.calls, bad)
+		r.list.Answers <- bad
+		require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.Calls, bad)
 	}
 	c.want("still", "all", 200, wholeOfAll)
 	require.Equal(t, 8, strings.Count(r.log.String(), "event=list_failed"))
 	said(12, true, r.entry("a0", "up"), r.entry("b0", "up")) // whole: a1 is gone, and its connection goes
-	r.eventually("a1 is left", func() bool { _, _, _, open := r.replicas["a1"].seen(); return open == 0 })
+	r.eventually("a1 is left", func() bool { _, _, _, open := r.replicas["a1"].Seen(); return open == 0 })
 	c.want("after", "all", 200, wholeOfAll)
-	parts, _, _, _ := r.replicas["a0"].seen()
+	parts, _, _, _ := r.replicas["a0"].Seen()
 	require.Len(t, parts, 2)
 	r.end()
 	require.NotContains(t, r.log.String(), "event=fault")
@@ -601,23 +601,23 @@
 // Version 0 is a version: the first call waits for what is newer. An answer that brings nothing and did not
 // wait counts as a failed call.
 func TestListWithoutEnd(t *testing.T) {
-	list := newList(t)
-	o := &owner{plan: &Plan{Discovery: list.ln.Addr().String()}, ctx: context.Background(),
+	list := script(t)
+	o := &owner{plan: &Plan{Discovery: list.Ln.Addr().String()}, ctx: context.Background(),
 		Means: Means{Dial: (&net.Dialer{}).DialContext}}
-	list.answers <- `{"version":0,"full":true,"servers":[]}`
+	list.Answers <- `{"version":0,"full":true,"servers":[]}`
 	version := 0.0
 	require.ErrorContains(t, o.watch(o.ctx, o.plan.Discovery, false, &version), "nothing new")
-	require.Equal(t, "/v1/servers?index=0&wait=2000", <-list.calls)
-	close(list.answers)
+	require.Equal(t, "/v1/servers?index=0&wait=2000", <-list.Calls)
+	close(list.Answers)
 }
 
 // Discovery that says nothing is asked again within seconds; many co-ordinators ask more seldom.
 func TestSilentDiscovery(t *testing.T) {
 	t.Parallel()
 	r := start(t, 256, nil)
-	<-r.list.calls
+	<-r.list.Calls
 	began := time.Now()
-	<-r.list.calls
+	<-r.list.Calls
 	require.Less(t, time.Since(began), 4*time.Second+patience/2)
 	require.Contains(t, r.log.String(), "event=list_failed")
 	for n, want := range map[string]time.Duration{"1": 2, "3": 3, "150": 20} {
@@ -629,10 +629,10 @@
 // Where the list comes by itself, calls are made without the module asking, and go on after failures.
 func TestListByItself(t *testing.T) {
 	r := start(t, 256, func(s map[string]any) { s["Discovery"] = "automatic" })
-	<-r.list.calls
-	r.list.answers <- ""
-	<-r.list.calls
-	r.list.answers <- fmt.Sprintf(`{"version":9,"full":false,"servers":[%s]}`, r.entry("a0", "draining"))
+	<-r.list.Calls
+	r.list.Answers <- ""
+	<-r.list.Calls
+	r.list.Answers <- fmt.Sprintf(`{"version":9,"full":false,"servers":[%s]}`, r.entry("a0", "draining"))
 	r.logged("how=Partial version=9")
 	r.end()
 }
@@ -641,29 +641,29 @@
 // are asked again there. Searches go on.
 func TestNewPlan(t *testing.T) {
 	r := start(t, 256, nil)
-	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.calls)
-	next := newList(t)
+	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.Calls)
+	next := script(t)
 	p := *r.plan
-	p.Discovery, p.Sockets = next.ln.Addr().String(), 16
+	p.Discovery, p.Sockets = next.Ln.Addr().String(), 16
 	r.plans <- &p
-	require.Equal(t, "/v1/servers", <-next.calls)
-	next.answers <- fmt.Sprintf(`{"version":3,"full":true,"servers":[%s,%s,%s]}`, r.entry("a0", "draining"),
+	require.Equal(t, "/v1/servers", <-next.Calls)
+	next.Answers <- fmt.Sprintf(`{"version":3,"full":true,"servers":[%s,%s,%s]}`, r.entry("a0", "draining"),
 		r.entry("a1", "up"), r.entry("b0", "up"))
-	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.calls)
+	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.Calls)
 	r.logged("how=Complete version=3 entries=3")
 	c := r.call()
 	c.want("q", "all", 200, wholeOfAll)
 	for id, want := range map[string]int{"a0": 0, "a1": 2, "b0": 2, "b1": 0} {
-		parts, _, _, _ := r.replicas[id].seen()
+		parts, _, _, _ := r.replicas[id].Seen()
 		require.Len(t, parts, want, id)
 	}
 	for range 20 { // the new number of descriptors holds
 		r.call()
 	}
 	r.logged("end=displaced")
-	next.answers <- "" // fails: the module asks again, at the same place
-	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.calls)
-	require.Empty(t, r.list.calls)
+	next.Answers <- "" // fails: the module asks again, at the same place
+	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.Calls)
+	require.Empty(t, r.list.Calls)
 	r.end()
 }
 
@@ -710,9 +710,9 @@
 	release := make(chan struct{})
 	var got atomic.Int32
 	for _, s := range r.replicas {
-		s.set(func(a asked) {
+		s.Set(func(a asked) {
 			got.Add(1)
-			go func() { <-release; a.good() }()
+			go func() { <-release; a.Good() }()
 		})
 	}
 	idle, early, late := r.call(), r.call(), r.call()
@@ -735,10 +735,10 @@
 	}
 	r.end()
 	for _, s := range r.replicas {
-		s.ln.Close()
+		s.Ln.Close()
 	}
-	r.list.ln.Close()
-	close(r.list.answers)
+	r.list.Ln.Close()
+	close(r.list.Answers)
 	r.eventually("goroutines end", func() bool { return runtime.NumGoroutine() <= before+1 })
 }
 
--- /dev/null
+++ b/coordinator/peers_test.go
@@ -0,0 +1,178 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"chalkring/learn"
+	"chalkring/logic"
+	"chalkring/peer"
+	"chalkring/standin"
+	"chalkring/work"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// named is a co-ordinator's side towards peers, at a free port.
+func named(t *testing.T, name string, ask ...PeerAt) *Peers {
+	return &Peers{Name: name, Listener: listen(t), Ask: ask, Allow: []string{"a", "b", "c"},
+		Budgets: map[string]work.Budget{"ask": {Concurrent: 4}, "answer": {Concurrent: 4}}}
+}
+
+func (p *Peers) at() PeerAt { return PeerAt{p.Name, p.Listener.Addr().String()} }
+
+// heard counts the replicas of which the module has heard something.
+func (r *rig) heard(id string) (bad bool) {
+	told := make(chan struct{})
+	var all []string
+	require.True(r.t, r.owner.post(func() {
+		r.owner.module.Know(0, 100, func(b logic.Belief) { all = append(all, b.Replica) })
+		close(told)
+	}))
+	<-told
+	return strings.Contains(strings.Join(all, " "), id)
+}
+
+// A co-ordinator that starts beside one that runs has its knowledge at once, and answers by it.
+func TestLearnsFromARunningOne(t *testing.T) {
+	pa := named(t, "a")
+	a := startWith(t, 256, nil, pa)
+	a.replicas["a0"].Ln.Close()
+	for i := range 40 {
+		a.call().want(fmt.Sprint("w", i), "all", 200, "")
+	}
+	require.True(t, a.heard("a0"))
+	pb := named(t, "b", pa.at())
+	b := startWith(t, 256, nil, pb)
+	b.logged("event=learned peer=a")
+	b.call().want("q", "all", 200, wholeOfAll)
+	s, err := (&peer.Asking{Addr: pb.at().Addr, Me: "a", Dial: (&net.Dialer{}).DialContext}).Status(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, uint32(4), s.Hosts)
+	require.Equal(t, "told", s.Peers[0].Last)
+	a.end()
+	b.end()
+}
+
+// Peers of no use: searches and /healthz wait for none of it, and the co-ordinator ends in the middle of asking.
+func TestUselessPeersDelayNothing(t *testing.T) {
+	deaf := listen(t)
+	gone := listen(t)
+	gone.Close()
+	p := named(t, "a", PeerAt{"deaf", deaf.Addr().String()}, PeerAt{"gone", gone.Addr().String()})
+	p.Ask = append(p.Ask, PeerAt{"self", p.at().Addr})
+	began := time.Now()
+	r := startWith(t, 256, nil, p)
+	c := r.call()
+	c.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, _, _, _ := c.answer()
+	require.Equal(t, 200, status)
+	c.want("q", "all", 200, wholeOfAll)
+	require.Less(t, time.Since(began), 2*time.Second, "a deaf peer takes longer to give up")
+	r.logged("how=failed")
+	r.logged("how=myself")
+	r.end()
+}
+
+// Two that both start cold and ask each other, and one that hears from both while a list changes.
+func TestColdOnesAskEachOther(t *testing.T) {
+	pa, pb := named(t, "a"), named(t, "b")
+	pa.Ask, pb.Ask = []PeerAt{pb.at()}, []PeerAt{pa.at()}
+	a, b := startWith(t, 256, nil, pa), startWith(t, 256, nil, pb)
+	a.logged("event=learned peer=b")
+	b.logged("event=learned peer=a")
+	for i := range 20 {
+		a.call().want(fmt.Sprint("x", i), "all", 200, wholeOfAll)
+		b.call().want(fmt.Sprint("y", i), "some", 200, "")
+	}
+	pc := named(t, "c", pa.at(), pb.at())
+	c := startWith(t, 256, nil, pc)
+	for i := range 8 {
+		c.list.Answers <- fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`, 8+i,
+			c.entry("a0", []string{"draining", "up"}[i%2]))
+		c.call().want(fmt.Sprint("z", i), "all", 200, wholeOfAll)
+	}
+	c.logged("how=Partial version=15")
+	c.logged("event=learned")
+	c.end()
+	a.end()
+	b.end()
+}
+
+// Fifty that start at once and ask one: some are answered, the others told when to come back, its own searches lose
+// nothing, and it ends with askers still coming.
+func TestFiftyAskOne(t *testing.T) {
+	p := named(t, "a")
+	for i := range 50 {
+		p.Allow = append(p.Allow, fmt.Sprint("n", i))
+	}
+	r := startWith(t, 256, nil, p)
+	var g sync.WaitGroup
+	var mu sync.Mutex
+	count := map[learn.Outcome]int{}
+	for i := range 50 {
+		g.Go(func() {
+			how, later, _ := (&peer.Asking{Peer: "a", Addr: p.at().Addr, Me: fmt.Sprint("n", i), Dial: (&net.Dialer{}).DialContext,
+				Head: func(learn.Head) error { return nil }, Notes: func([]learn.Note) error { return nil }}).Run(context.Background())
+			mu.Lock()
+			defer mu.Unlock()
+			if count[how]++; how == learn.Later && later <= 0 {
+				count[learn.Failed]++
+			}
+		})
+	}
+	c := r.call()
+	for i := range 40 {
+		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+	}
+	g.Wait()
+	require.Equal(t, 50, count[learn.Told]+count[learn.Later], "%v", count)
+	require.Positive(t, count[learn.Told])
+	r.end()
+}
+
+// A host whose address changed is another machine: what was heard of it is taken back.
+func TestMovedHost(t *testing.T) {
+	ln := listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error)
+	s := &peer.Server{Name: "b", Instance: 1, Allow: []string{"a"}, Done: func() {}, Refused: func(string, string) {},
+		Admit: func(string) (bool, time.Duration) { return true, 0 },
+		Report: func(context.Context) (learn.Head, []learn.Note, error) {
+			return learn.Head{Peer: "b", Hosts: 1}, []learn.Note{{ID: "a0", Bad: true}}, nil
+		}}
+	go func() { served <- s.Serve(ctx, ln) }()
+	p := named(t, "a", PeerAt{"b", ln.Addr().String()})
+	r := startWith(t, 256, nil, p)
+	r.logged("event=learned peer=b hosts=1")
+	stop()
+	require.NoError(t, <-served)
+	l := r.owner.peers
+	heard := func() (n int) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, h := range l.shelf.Combine(r.owner.clock(), func(string) (int64, bool) { return 0, true }) {
+			if h.Bad {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 1, heard())
+	other, err := standin.NewHost("a0", 0, true, asked.Good)
+	require.NoError(t, err)
+	t.Cleanup(other.Close)
+	r.list.Answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`,
+		strings.Replace(r.entry("a0", "up"), r.replicas["a0"].Ln.Addr().String(), other.Ln.Addr().String(), 1))
+	r.eventually("the older note counts no more", func() bool { return heard() == 0 })
+	r.call().want("q", "all", 200, wholeOfAll)
+	r.end()
+}
--- a/coordinator/standins_test.go
+++ b/coordinator/standins_test.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"chalkring/internal/frame"
 	"chalkring/internal/http1"
+	"chalkring/standin"
 )
 
 // patience is how long a test waits for what has to come; no verdict rests on anything coming sooner.
@@ -36,28 +34,7 @@
 "SecondCopies":true,"Cancelling":true,"RetryAfter":true,"MaxRetryAfter":500.0},
 "Safety":{"Cold":1000.0,"ColdFrom":0.3,"FallMultiple":3.0,"Fall":2000.0,"DrainGrace":250.0,"AskWithin":500.0}}`
 
-// asked is one part as a replica got it.
-type asked struct {
-	id    string
-	shard int
-	list  string
-	text  string
-	conn  net.Conn
-}
-
-func (a asked) reply(end string, score string, value string) {
-	a.conn.Write(frame.End(append(frame.Begin(nil, frame.Answer),
-		fmt.Sprintf("%s %s %s -\n%s", a.id, end, score, value)...), 0))
-}
-
-// good answers with a value that tells what was asked.
-func (a asked) good() {
-	value := fmt.Sprintf("%s@%d", a.text, a.shard)
-	if strings.HasSuffix(a.id, ".r") {
-		value += "!"
-	}
-	a.reply("good", fmt.Sprint(100+a.shard%3), value)
-}
+type asked = standin.Part
 
 // writes collects what is written to a connection.
 type writes struct {
@@ -77,138 +54,11 @@
 	return w.Conn.Write(append(append([]byte(nil), p...), w.more...))
 }
 
-// standReplica is a replica: do is called for each part, in a goroutine a connection.
-type standReplica struct {
-	id   string
-	cell int
-	ln   net.Listener
-
-	mu     sync.Mutex
-	do     func(a asked)
-	parts  []asked
-	frames []int // parts in each call
-	given  []string
-	conns  int
-	open   int
-}
-
-func (s *standReplica) set(do func(a asked)) {
-	s.mu.Lock()
-	s.do = do
-	s.mu.Unlock()
-}
-
-// seen gives the parts it got, the ids that were given up, and its connections made and open.
-func (s *standReplica) seen() (parts []asked, given []string, conns, open int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]asked(nil), s.parts...), append([]string(nil), s.given...), s.conns, s.open
-}
-
-// calls gives the parts of each call.
-func (s *standReplica) calls() []int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]int(nil), s.frames...)
-}
-
-func (s *standReplica) serve() {
-	for {
-		conn, err := s.ln.Accept()
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		s.conns++
-		s.open++
-		s.mu.Unlock()
-		go s.talk(conn)
-	}
-}
-
-func (s *standReplica) talk(conn net.Conn) {
-	defer func() {
-		conn.Close()
-		s.mu.Lock()
-		s.open--
-		s.mu.Unlock()
-	}()
-	src := bufio.NewReader(conn)
-	for {
-		letter, rest, err := frame.Read(src)
-		if err != nil {
-			return
-		}
-		if letter == frame.Cancel {
-			s.mu.Lock()
-			s.given = append(s.given, string(rest))
-			s.mu.Unlock()
-			continue
-		}
-		s.mu.Lock()
-		s.frames = append(s.frames, 0)
-		s.mu.Unlock()
-		for len(rest) > 0 {
-			line, more, _ := bytes.Cut(rest, []byte("\n"))
-			a, length := asked{conn: conn}, 0
-			fmt.Sscanf(string(line), "%s %d %s %d", &a.id, &a.shard, &a.list, &length)
-			a.text, rest = string(more[:length]), more[length:]
-			s.mu.Lock()
-			do := s.do
-			s.parts = append(s.parts, a)
-			s.frames[len(s.frames)-1]++
-			s.mu.Unlock()
-			do(a)
-		}
-	}
-}
-
-// standList is discovery: each call is answered by the next text of answers.
-type standList struct {
-	ln      net.Listener
-	answers chan string
-	calls   chan string // targets
-}
-
-func newList(t *testing.T) *standList {
-	d := &standList{ln: listen(t), answers: make(chan string, 16), calls: make(chan string, 64)}
-	go d.serve()
-	return d
-}
-
-func (d *standList) serve() {
-	for {
-		conn, err := d.ln.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			rd := http1.NewReader(conn, make([]byte, bufferSize))
-			for {
-				_, target, _, _, _, err := rd.Request()
-				if err != nil {
-					return
-				}
-				d.calls <- target
-				text, ok := <-d.answers
-				if !ok || text == "" {
-					return
-				}
-				if !strings.HasPrefix(text, "HTTP/") {
-					text = string(http1.AppendResponse(nil, 200, "", []byte(text), true))
-				}
-				conn.Write([]byte(text))
-			}
-		}()
-	}
-}
-
 // rig is one co-ordinator with stand-ins around it.
 type rig struct {
 	t        *testing.T
-	replicas map[string]*standReplica
-	list     *standList
+	replicas map[string]*standin.Host
+	list     *standin.Script
 	plans    chan *Plan
 	plan     *Plan
 	addr     string
@@ -242,7 +92,7 @@
 // parts counts those that all replicas got.
 func (r *rig) parts() (n int) {
 	for _, s := range r.replicas {
-		parts, _, _, _ := s.seen()
+		parts, _, _, _ := s.Seen()
 		n += len(parts)
 	}
 	return n
@@ -252,6 +102,13 @@
 	r.eventually("log line "+text, func() bool { return strings.Contains(r.log.String(), text) })
 }
 
+func script(t *testing.T) *standin.Script {
+	d, err := standin.NewScript()
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	return d
+}
+
 func listen(t *testing.T) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -262,20 +119,24 @@
 // entry is a replica's line in discovery's form.
 func (r *rig) entry(id, state string) string {
 	s := r.replicas[id]
-	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z one","kind":"small","cell":%d,"state":%q,"weight":1.0,"started_ms":0}`,
-		id, s.ln.Addr(), s.cell, state)
+	return standin.Entry{ID: id, Addr: s.Ln.Addr().String(), Zone: "z one", Kind: "small", Cell: s.Cell, State: state}.Text()
 }
 
 // start sets up replicas a0 and a1 of cell 0, b0 and b1 of cell 1, and serves. edit changes the settings.
 func start(t *testing.T, sockets int, edit func(settings map[string]any)) *rig {
-	r := &rig{t: t, replicas: map[string]*standReplica{}, log: &journal{}, ended: make(chan error, 1),
-		list: newList(t), plans: make(chan *Plan)}
+	return startWith(t, sockets, edit, nil)
+}
+
+func startWith(t *testing.T, sockets int, edit func(settings map[string]any), peers *Peers) *rig {
+	r := &rig{t: t, replicas: map[string]*standin.Host{}, log: &journal{}, ended: make(chan error, 1),
+		list: script(t), plans: make(chan *Plan)}
 	var known []string
 	for _, id := range []string{"a0", "a1", "b0", "b1"} {
-		s := &standReplica{id: id, cell: int(id[0] - 'a'), ln: listen(t), do: asked.good}
+		s, err := standin.NewHost(id, int(id[0]-'a'), true, asked.Good)
+		require.NoError(t, err)
+		t.Cleanup(s.Close)
 		r.replicas[id] = s
 		known = append(known, r.entry(id, "up"))
-		go s.serve()
 	}
 	settings := map[string]any{}
 	require.NoError(t, json.Unmarshal([]byte(testSettings), &settings))
@@ -286,14 +147,14 @@
 	ln := listen(t)
 	p, err := Parse(fmt.Appendf(nil, `{"name":"n","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":{"version":7,"full":true,"servers":[%s]},
-		"settings":%s}`, ln.Addr(), r.list.ln.Addr(), sockets, strings.Join(known, ","), text))
+		"settings":%s}`, ln.Addr(), r.list.Ln.Addr(), sockets, strings.Join(known, ","), text))
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	r.addr, r.stop, r.plan = ln.Addr().String(), stop, p
 	look := make(chan *owner, 1)
 	go func() {
 		r.ended <- p.Serve(ctx, Means{Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
-			Log: NewLog(r.log, false, slog.LevelInfo), Plans: r.plans, look: look})
+			Log: NewLog(r.log, false, slog.LevelInfo), Plans: r.plans, Peers: peers, look: look})
 	}()
 	r.owner = <-look
 	t.Cleanup(stop)
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -47,7 +47,8 @@
 	Listen  string        `yaml:"listen"`  // where others ask; nothing listens where it is left out
 	Ask     []Peer        `yaml:"ask"`     // whom it asks
 	Allow   []string      `yaml:"allow"`   // who may ask, by name
-	Refresh time.Duration `yaml:"refresh"` // between askings after the first half minute; 0 asks no more
+	Again   string        `yaml:"refresh"` // between askings after the first half minute; 0 asks no more
+	Refresh time.Duration `yaml:"-"`       // the same, read
 	TLS     *TLS          `yaml:"tls"`     // without it all is plain text and names are believed
 }
 
@@ -193,6 +194,12 @@
 	for i, name := range p.Allow {
 		c.name(fmt.Sprintf("$.peers.allow[%d]", i), name)
 	}
+	if p.Again != "" {
+		var err error
+		if p.Refresh, err = time.ParseDuration(p.Again); err != nil {
+			c.fault("$.peers.refresh", "%.40q is no time such as 30s", p.Again)
+		}
+	}
 	if p.Refresh != 0 && (p.Refresh < refreshLow || p.Refresh > refreshMost) {
 		c.fault("$.peers.refresh", "%v is not from %v to %v", p.Refresh, refreshLow, refreshMost)
 	}
--- /dev/null
+++ b/installation/installation_test.go
@@ -0,0 +1,81 @@
+package installation
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const whole = `peers:
+  name: n0
+  listen: 127.0.0.1:7400
+  ask: [{name: n1, address: "127.0.0.1:7401"}]
+  allow: [n1]
+  refresh: 30s
+  tls: {certificate: a.pem, key: /k/a.key, authorities: ca.pem}
+background:
+  ask: {concurrent: 2}
+log: {format: json}
+`
+
+func TestWhole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "i.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(whole), 0o600))
+	f, err := Read(path)
+	require.NoError(t, err)
+	require.Equal(t, 30*time.Second, f.Peers.Refresh)
+	require.Equal(t, []Peer{{"n1", "127.0.0.1:7401"}}, f.Peers.Ask)
+	require.Equal(t, filepath.Join(filepath.Dir(path), "a.pem"), f.Peers.TLS.Certificate)
+	require.Equal(t, "/k/a.key", f.Peers.TLS.Key)
+	require.Equal(t, 2, f.Background["ask"].Concurrent)
+	require.Positive(t, f.Background["answer"].BytesPerSecond, "what is left out has its bound")
+	require.Equal(t, Log{"json", "info"}, f.Log)
+	f, err = Parse(nil, "")
+	require.NoError(t, err)
+	require.Nil(t, f.Peers, "nothing is on that is not named")
+	_, err = Read(path + ".not")
+	require.Error(t, err)
+}
+
+func TestFaultsAreNamedWithTheirPlace(t *testing.T) {
+	for text, want := range map[string]string{
+		"peers:\n  lisen: x\n":                                        `[2:3] unknown field "lisen"`,
+		"peers:\n  listen: here\n":                                    `[2:11] peers.listen: "here" is no address`,
+		"peers:\n  listen: 127.0.0.1:0\n":                             `[2:11] peers.listen`,
+		"peers:\n  ask:\n    - {name: a, address: b}\n":               `[3:26] peers.ask[0].address: "b"`,
+		"peers:\n  ask:\n    - name: a b\n      address: 1.2.3.4:5\n": `[3:13] peers.ask[0].name`,
+		"peers:\n  ask:\n    - {name: a, address: \"127.0.0.1:1\"}\n    - {name: a, address: \"127.0.0.1:2\"}\n": `[4:14] peers.ask[1].name: "a" is there twice`,
+		"peers:\n  allow: [n1]\n":                      `peers.allow: names are allowed, but nothing listens`,
+		"peers:\n  refresh: 1ms\n":                     `[2:12] peers.refresh`,
+		"peers:\n  refresh: soon\n":                    `[2:12]`,
+		"peers:\n  tls: {certificate: a, key: b}\n":    `peers.tls.authorities: is missing`,
+		"background:\n  sweep: {concurrent: 1}\n":      `background.sweep: no such kind of work`,
+		"background:\n  ask: {concurrent: 65}\n":       `[2:21] background.ask.concurrent`,
+		"background:\n  ask: {bytes_per_second: -1}\n": `[2:27] background.ask.bytes_per_second`,
+		"background:\n  ask: {cpu_per_second: 1.5}\n":  `background.ask.cpu_per_second`,
+		"log:\n  format: xml\n":                        `[2:11] log.format`,
+		"log:\n  level: loud\n":                        `[2:10] log.level`,
+		"log: {level: info}\nlog: {level: info}\n":     `[2:1]`,
+		"peers: [1\n": `[1:`,
+		"peers: 7\n":  `[1:8]`,
+		"log: {level: info}\n---\nlog: {level: info}\n": `more than one document`,
+	} {
+		_, err := Parse([]byte(text), "")
+		require.ErrorContains(t, err, want, text)
+	}
+	_, err := Parse(make([]byte, fileMost+1), "")
+	require.Error(t, err)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte("peers: {ask: [{name: &a x, address: *a}]}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if file, err := Parse(text, "/d"); err == nil && file.Peers != nil && file.Peers.TLS != nil {
+			require.True(t, filepath.IsAbs(file.Peers.TLS.Key))
+		}
+	})
+}
--- /dev/null
+++ b/learn/learn_test.go
@@ -0,0 +1,332 @@
+package learn
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chalkring/logic"
+)
+
+// all lists every host as started long ago.
+func all(string) (int64, bool) { return 0, true }
+
+// put places a whole report of notes on a shelf.
+func put(t require.TestingT, s *Shelf, asked int64, peer string, notes ...Note) {
+	put2(t, s, asked, Head{Peer: peer, Serial: uint64(asked), Hosts: uint32(len(notes))}, notes...)
+}
+
+func put2(t require.TestingT, s *Shelf, asked int64, h Head, notes ...Note) {
+	require.NoError(t, s.Begin(asked, h))
+	require.NoError(t, s.Add(h.Peer, notes))
+	s.End(h.Peer)
+}
+
+func slow(id string, thousandths int16) Note {
+	return Note{ID: id, ShortN: 80, LongN: 80, Short: thousandths, Long: thousandths}
+}
+
+func bad(id string) Note { return Note{ID: id, Bad: true, Quiet: 5} }
+
+func of(heard []logic.Heard, id string) logic.Heard {
+	for _, h := range heard {
+		if h.Of == logic.OfReplica && h.Replica == id {
+			return h
+		}
+	}
+	return logic.Heard{}
+}
+
+var note = rapid.Custom(func(t *rapid.T) Note {
+	return Note{ID: fmt.Sprint("h", rapid.IntRange(0, 5).Draw(t, "id")), ShortN: rapid.Uint16().Draw(t, "shortN"),
+		LongN: rapid.Uint16().Draw(t, "longN"), Short: rapid.Int16().Draw(t, "short"), Long: rapid.Int16().Draw(t, "long"),
+		Bad: rapid.Bool().Draw(t, "bad")}
+})
+
+// Some peers' reports, in any order: the same is combined of them. No host weighs more than the module would
+// believe, none is told as quicker than usual, and one report that comes again changes nothing.
+func TestCombining(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reports := rapid.SliceOfN(rapid.SliceOfN(note, 1, 8), 1, 5).Draw(t, "reports")
+		ages := rapid.SliceOfN(rapid.Int64Range(0, reportLife), 5, 5).Draw(t, "ages")
+		now := int64(2 * reportLife)
+		shelf := func(order []int, times int) []logic.Heard {
+			s := NewShelf("", nil)
+			for _, i := range order {
+				for range times {
+					put2(t, s, now-ages[i], Head{Peer: fmt.Sprint("p", i), Serial: 7, Hosts: uint32(len(reports[i]))}, reports[i]...)
+				}
+			}
+			return s.Combine(now, all)
+		}
+		var order []int
+		for i := range reports {
+			order = append(order, i)
+		}
+		first := shelf(order, 1)
+		rand.New(rand.NewSource(rapid.Int64().Draw(t, "order"))).Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+		require.Equal(t, first, shelf(order, 1), "the order of peers")
+		require.Equal(t, first, shelf(order, 2), "twice counts once")
+		for _, h := range first {
+			require.LessOrEqual(t, h.Short.N, oneVote)
+			require.LessOrEqual(t, h.Long.N, oneVote)
+			require.GreaterOrEqual(t, h.Short.Mean, 0.0)
+			require.LessOrEqual(t, h.Lasts, int64(badLife))
+			require.False(t, math.IsNaN(h.Short.Mean+h.Short.N+h.Long.Mean+h.Long.N))
+		}
+	})
+}
+
+// More age never weighs more: the older of two shelves that are the same but for ages weighs no host more, and
+// believes no suspicion longer.
+func TestAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reports := rapid.SliceOfN(rapid.SliceOfN(note, 1, 8), 1, 4).Draw(t, "reports")
+		ages := rapid.SliceOfN(rapid.Int64Range(0, reportLife/2), 4, 4).Draw(t, "ages")
+		older := rapid.SliceOfN(rapid.Int64Range(0, reportLife/2), 4, 4).Draw(t, "older")
+		now := int64(2 * reportLife)
+		shelf := func(more []int64) []logic.Heard {
+			s := NewShelf("", nil)
+			for i, notes := range reports {
+				put(t, s, now-ages[i]-more[i], fmt.Sprint("p", i), notes...)
+			}
+			return s.Combine(now, all)
+		}
+		young, old := shelf(make([]int64, 4)), shelf(older)
+		for _, h := range old {
+			y := of(young, h.Replica)
+			require.LessOrEqual(t, h.Short.N, y.Short.N+1e-9, h.Replica)
+			require.LessOrEqual(t, h.Long.N, y.Long.N+1e-9, h.Replica)
+			require.LessOrEqual(t, h.Lasts, y.Lasts, h.Replica)
+		}
+	})
+}
+
+// Whatever one liar among three tells, a host's slowness stays between what the honest two tell, and a host that
+// neither calls bad is not bad.
+func TestOneLiarOfThree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.Int16Range(0, 3000).Draw(t, "a"), rapid.Int16Range(0, 3000).Draw(t, "b")
+		lies := rapid.SliceOfN(note, 1, 8).Draw(t, "lies")
+		s := NewShelf("", nil)
+		put(t, s, 0, "honest-1", slow("h1", a))
+		put(t, s, 0, "honest-2", slow("h1", b))
+		put(t, s, 0, "liar", lies...)
+		for _, h := range s.Combine(0, all) {
+			require.False(t, h.Bad, h.Replica)
+			if h.Replica == "h1" {
+				require.LessOrEqual(t, h.Short.Mean, float64(max(a, b))/logScale)
+			} else {
+				require.Zero(t, h.Short.Mean, "only the liar speaks of it")
+			}
+		}
+	})
+}
+
+func TestMajority(t *testing.T) {
+	s := NewShelf("", nil)
+	put(t, s, 0, "a", bad("h1"), slow("h2", 0), slow("h3", 0), slow("h4", 0))
+	require.True(t, of(s.Combine(0, all), "h1").Bad, "the only word there is")
+	put(t, s, 0, "b", slow("h1", 0))
+	h := of(s.Combine(0, all), "h1")
+	require.Equal(t, "h1", h.Replica, "what was told and no longer holds is taken back")
+	require.False(t, h.Bad, "one of two")
+	put(t, s, 0, "c", bad("h1"))
+	require.True(t, of(s.Combine(0, all), "h1").Bad, "two of three")
+	require.Equal(t, int64(badLife-second), of(s.Combine(second, all), "h1").Lasts)
+	require.False(t, of(s.Combine(badLife, all), "h1").Bad, "too old")
+	require.Empty(t, s.Combine(reportLife+1, all))
+	require.Zero(t, s.Peers())
+}
+
+// A peer to which over half of its hosts look bad tells of itself.
+func TestOwnTrouble(t *testing.T) {
+	s := NewShelf("", nil)
+	put(t, s, 0, "a", bad("h1"), bad("h2"), bad("h3"), slow("h4", 0))
+	require.Empty(t, s.Combine(0, all))
+}
+
+// A host that restarted after the report, left, moved or came later.
+func TestOtherMachines(t *testing.T) {
+	started := map[string]int64{"h1": 0}
+	since := func(id string) (int64, bool) { ms, ok := started[id]; return ms, ok }
+	s := NewShelf("", nil)
+	n := bad("h1")
+	n.Since = 500
+	put(t, s, 0, "a", n, bad("h2"), slow("h3", 0), slow("h4", 0), slow("h5", 0))
+	require.Empty(t, s.Combine(0, since), "another life of h1; h2 is not listed")
+	started["h1"], started["h2"] = 500, 0
+	heard := s.Combine(1, since)
+	require.True(t, of(heard, "h1").Bad, "the list follows")
+	require.True(t, of(heard, "h2").Bad, "it came to the list after the report")
+	s.Moved(10, "h2")
+	heard = s.Combine(11, since)
+	require.False(t, of(heard, "h2").Bad, "an older note is of another machine")
+	require.True(t, of(heard, "h1").Bad)
+	put(t, s, 20, "a", bad("h2"), slow("h3", 0), slow("h4", 0))
+	require.True(t, of(s.Combine(20, since), "h2").Bad, "a newer one counts")
+	delete(started, "h2")
+	require.False(t, of(s.Combine(20, since), "h2").Bad, "it has left")
+	for i := range 3 * movedMost {
+		s.Moved(30, fmt.Sprint("m", i))
+	}
+	require.LessOrEqual(t, len(s.moved), movedMost)
+}
+
+// A report broken off leaves the one before; notes without a head, beyond what the head tells, from too many
+// peers or of no proper name are refused.
+func TestBounds(t *testing.T) {
+	s := NewShelf("", nil)
+	put(t, s, 0, "a", bad("h1"), slow("h2", 0), slow("h3", 0))
+	require.NoError(t, s.Begin(10, Head{Peer: "a", Serial: 2, Hosts: 1}))
+	require.True(t, of(s.Combine(10, all), "h1").Bad)
+	require.Error(t, s.Add("a", []Note{slow("h1", 0), slow("h2", 0)}))
+	s.Drop("a")
+	require.True(t, of(s.Combine(10, all), "h1").Bad)
+	require.Error(t, s.Add("a", []Note{bad("h1")}))
+	require.Error(t, s.Add("nobody", nil))
+	require.Error(t, s.Begin(0, Head{Peer: "b", Hosts: HostsMost + 1}))
+	require.Error(t, s.Begin(0, Head{Peer: "with blank "}))
+	require.Error(t, s.Begin(0, Head{Peer: "b", Zones: []Zone{{Name: ""}}}))
+	for i := range PeersMost - 1 {
+		put(t, s, 0, fmt.Sprint("p", i))
+	}
+	require.Error(t, s.Begin(0, Head{Peer: "one more"}))
+}
+
+// What a peer under overload sees is slow all over: relative to its usual time it tells nothing.
+func TestOverloadedPeer(t *testing.T) {
+	take := func(times float64) []Note {
+		taker := NewTaker(0, "a", "", 1, 1, nil)
+		usual := math.Log(50 * times)
+		taker.Tell(logic.Belief{Of: logic.OfFleet, Short: logic.Tally{N: 100, Mean: usual}, Long: logic.Tally{N: 100, Mean: usual}})
+		for i, factor := range []float64{1, 1, 4} {
+			mean := logic.Tally{N: 10, Mean: math.Log(50 * times * factor)}
+			taker.Tell(logic.Belief{Of: logic.OfReplica, Replica: fmt.Sprint("h", i), Short: mean, Long: mean, Age: 10})
+		}
+		return taker.Notes
+	}
+	calm := take(1)
+	require.Equal(t, calm, take(30))
+	require.InDelta(t, math.Log(4)*logScale, float64(calm[2].Short), 1)
+	require.Zero(t, calm[0].Short)
+}
+
+// From another place the way to a zone is taken out; ways and usual times are believed from the own place alone.
+func TestPlaces(t *testing.T) {
+	n := slow("h1", 1500)
+	n.Zone = 1
+	head := Head{Peer: "a", Place: "east", Hosts: 1, Answers: 1000, Usual: 400, Shortest: 30,
+		Zones: []Zone{{Name: "z0", N: 80}, {Name: "z1", N: 80, Slower: 1400}}}
+	here, there := NewShelf("east", []string{"z1"}), NewShelf("west", []string{"z0", "z1"})
+	put2(t, here, 0, head, n)
+	put2(t, there, 0, head, n)
+	heard := here.Combine(0, all)
+	require.InDelta(t, 1.5, of(heard, "h1").Short.Mean, 1e-9)
+	require.Equal(t, logic.Heard{Of: logic.OfFleet, Usual: 400, Shortest: 30}, heard[0])
+	require.Equal(t, logic.OfZone, heard[1].Of)
+	require.Equal(t, 0, heard[1].Zone, "zones go by name")
+	heard = there.Combine(0, all)
+	require.Len(t, heard, 1)
+	require.InDelta(t, 0.1, of(heard, "h1").Short.Mean, 1e-9)
+}
+
+func TestAsking(t *testing.T) {
+	a := NewAsker(rand.New(rand.NewSource(1)), 100, 0, []string{"a", "b", "c", "d"})
+	require.Equal(t, []string{"a", "b", "c", "d"}, a.Due(100), "all at once, at once")
+	require.Empty(t, a.Due(200), "they are being asked")
+	require.Zero(t, a.NextAt(200))
+	a.Ended(1000, "a", Told, 0)
+	a.Ended(1000, "b", Later, 70*second)
+	a.Ended(1000, "c", Failed, 0)
+	a.Ended(1000, "d", Myself, 0)
+	a.Ended(1000, "nobody", Told, 0)
+	require.Empty(t, a.Due(1000+failFirst-1))
+	require.Equal(t, []string{"c"}, a.Due(1000+2*failFirst))
+	waits := []int64{}
+	now := int64(1000 + 2*failFirst)
+	for range 4 {
+		a.Ended(now, "c", Failed, 0)
+		next := a.NextAt(now)
+		for _, name := range a.Due(next) {
+			if name == "a" {
+				a.Ended(next, "a", Told, 0)
+			}
+		}
+		waits = append(waits, next-now)
+		now = max(now, next) + 20*second
+		a.Due(now)
+	}
+	require.Less(t, waits[0], int64(2*second))
+	require.Zero(t, NewAsker(rand.New(rand.NewSource(1)), 0, 0, []string{"a"}).NextAt(youngTime), "grown: never again")
+	b := NewAsker(rand.New(rand.NewSource(1)), 0, 60*second, []string{"a"})
+	b.Due(0)
+	b.Ended(youngTime, "a", Told, 0)
+	require.GreaterOrEqual(t, b.NextAt(youngTime), int64(youngTime+60*second))
+	for _, s := range a.Standings(now) {
+		require.False(t, s.Name == "d" && s.NextAt > 0, "itself is never asked again")
+	}
+}
+
+// Fifty ask at once: a few are answered, the others get times that are spread, and all are answered by and by.
+func TestDesk(t *testing.T) {
+	d := NewDesk()
+	due, answered, now := map[string]int64{}, map[string]bool{}, int64(0)
+	for i := range 50 {
+		due[fmt.Sprint("n", i)] = 0
+	}
+	for ; now < 60*second && len(answered) < 50; now += second / 20 {
+		served := 0
+		for name, at := range due {
+			if at > now || answered[name] {
+				continue
+			}
+			if ok, later := d.Ask(now, name); ok {
+				answered[name] = true
+				served++
+			} else {
+				require.Positive(t, later)
+				require.LessOrEqual(t, later, int64(slotsMost))
+				due[name] = now + later
+			}
+		}
+		require.LessOrEqual(t, served, deskMost)
+		for range served {
+			d.Done()
+		}
+	}
+	require.Len(t, answered, 50)
+	require.Less(t, now, int64(30*second))
+	ok, later := d.Ask(now, "n1")
+	require.True(t, ok)
+	_, later = d.Ask(now+1, "n1")
+	require.Equal(t, int64(nameEvery-1), later, "a name has to wait")
+	d.Busy(0.9)
+	ok, later = d.Ask(now+5*second, "n2")
+	require.False(t, ok, "searches go first")
+	require.GreaterOrEqual(t, later, int64(busyWait))
+	for i := range 4 * namesMost {
+		d.Busy(0)
+		d.Ask(now+6*second, fmt.Sprint("x", i))
+		d.Done()
+	}
+	require.LessOrEqual(t, len(d.names), namesMost)
+}
+
+func BenchmarkMerge(b *testing.B) {
+	s := NewShelf("", nil)
+	for p := range 3 {
+		notes := make([]Note, 10_000)
+		for i := range notes {
+			notes[i] = slow(fmt.Sprintf("host-%05d", i), int16(i%2000))
+		}
+		put(b, s, 0, fmt.Sprint("p", p), notes...)
+	}
+	for b.Loop() {
+		s.Combine(1, all)
+	}
+}
--- /dev/null
+++ b/logic/heard_test.go
@@ -0,0 +1,150 @@
+package logic
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// known collects what the module hands out, in slices of so many.
+func known(c Coordinator, most int) (all []Belief) {
+	for from := 0; ; {
+		if from = c.Know(from, most, func(b Belief) { all = append(all, b) }); from == 0 {
+			return all
+		}
+	}
+}
+
+func (s *stage) hear(h ...Heard) {
+	s.turn(func() {
+		for _, one := range h {
+			s.c.Hear(one)
+		}
+	})
+}
+
+func (s *stage) sent(to string) (n int) {
+	for _, a := range s.acts {
+		if len(a) > 5 && a[:5] == "send " && a[len(a)-len(to)-1:] == " "+to {
+			n++
+		}
+	}
+	return n
+}
+
+// What is handed out is first hand: a module that only heard has nothing to tell, one with answers tells of each
+// replica once, whatever the slices.
+func TestKnowIsFirstHand(t *testing.T) {
+	s := begin(t, "start a/0 b/0 c/0\nwhen a,b Ok 20\nwhen c ConnectError 1\nsteady 40 50 1 4000 0,0")
+	for _, most := range []int{1, 2, 100} {
+		all := known(s.c, most)
+		require.Equal(t, OfFleet, all[0].Of)
+		var ids []string
+		for _, b := range all {
+			if b.Of == OfReplica {
+				ids = append(ids, b.Replica)
+				require.Equal(t, b.Replica == "c", b.Bad)
+			}
+		}
+		require.Equal(t, []string{"a", "b", "c"}, ids)
+	}
+	require.InDelta(t, math.Log(200), known(s.c, 9)[0].Short.Mean, 0.3)
+	other := begin(t, "start a/0 b/0 c/0")
+	before := known(other.c, 9)
+	other.hear(Heard{Of: OfReplica, Replica: "c", Bad: true, Lasts: 100_000, Short: Tally{3, 2}, Long: Tally{3, 2}},
+		Heard{Of: OfZone, Short: Tally{3, 2}})
+	after := known(other.c, 9)
+	require.Equal(t, before[1:], after[1:])
+}
+
+// A replica that is said to be bad: searches go to the others, one part at a time tries it where there is one to
+// spare, and with its first answer it is taken back.
+func TestHeardBad(t *testing.T) {
+	s := begin(t, "start a/0 b/0\nwhen a,b Ok 20")
+	s.hear(Heard{Of: OfReplica, Replica: "a", Bad: true, Lasts: 200_000})
+	s.lines("mark steady 50 10 1 4000 0,0") // none to spare
+	require.Zero(t, s.sent("a"), "%v", s.acts)
+	s.lines("mark steady 100 10 0 4000 0,0,0,0,0") // 60% are enough
+	require.Greater(t, s.sent("a"), 50, "its answer has cleared it")
+}
+
+// No peer can take a replica away: where all others are full, gone or cold it takes parts, and the belief ends.
+func TestHeardBadIsNoBan(t *testing.T) {
+	s := begin(t, "start a/0 b/0\nwhen a,b Ok 20\nlist Partial b/0/cordoned")
+	s.hear(Heard{Of: OfReplica, Replica: "a", Bad: true, Lasts: 200_000})
+	s.lines("mark steady 20 60 1 4000 0,0")
+	require.Positive(t, s.sent("a"))
+	s = begin(t, "start a/0 b/0\nwhen a,b Ok 20")
+	s.hear(Heard{Of: OfReplica, Replica: "a", Bad: true, Lasts: math.MaxInt64 / 2})
+	s.to(s.now + heardSpan)
+	s.lines("mark steady 20 60 1 4000 0,0")
+	require.Greater(t, s.sent("a"), 5)
+}
+
+// A replica that is said to be bad and is: one part, and it is a suspect here too.
+func TestHeardBadAndSilent(t *testing.T) {
+	parts := func(hear bool) int {
+		s := begin(t, "start a/0 b/0\nwhen b Ok 20\nsilent a")
+		if hear {
+			s.hear(Heard{Of: OfReplica, Replica: "a", Bad: true, Lasts: 200_000})
+		}
+		s.lines("mark steady 90 10 0 4000 0,0,0,0,0")
+		return s.sent("a")
+	}
+	require.LessOrEqual(t, parts(true), 2)
+	require.Greater(t, parts(false), parts(true))
+}
+
+// All learners hear that one replica is the quickest: they do not rush at it. Nor does hearsay send a cold replica
+// more than it gets without.
+func TestHeardQuick(t *testing.T) {
+	share := func(hear bool, facts string) int {
+		s := begin(t, facts+"\nstart a/0 b/0 c/0/healthy/5\nwhen a,b,c Ok 20")
+		if hear {
+			s.hear(Heard{Of: OfReplica, Replica: "a", Short: Tally{9, -5}, Long: Tally{9, -5}},
+				Heard{Of: OfReplica, Replica: "c", Since: 50, Short: Tally{9, -5}, Long: Tally{9, -5}})
+		}
+		s.lines("mark steady 100 20 1 4000 0")
+		return s.sent("a")*1000 + s.sent("c")
+	}
+	require.Equal(t, share(false, ""), share(true, ""))
+	few := "facts Specifics.PerCall=2"
+	require.Equal(t, share(false, few), share(true, few))
+}
+
+// Hearsay is bounded and gives way: three own answers weigh as much as anything that can be told.
+func TestHeardGivesWay(t *testing.T) {
+	s := begin(t, "start a/0 b/0\nwhen a,b Ok 20\nsteady 10 20 1 4000 0,0")
+	c := s.c.(*coordinator)
+	slowness := func() float64 { return c.slowness(c.fleet["a"]) }
+	before := slowness()
+	s.hear(Heard{Of: OfReplica, Replica: "a", Short: Tally{1e9, 1e9}, Long: Tally{1e9, 1e9}})
+	require.InDelta(t, before, slowness(), 0.01, "own answers weigh more already")
+	s = begin(t, "start a/0 b/0\nwhen a,b Ok 20")
+	c = s.c.(*coordinator)
+	s.hear(Heard{Of: OfReplica, Replica: "a", Short: Tally{1e9, 1e9}},
+		Heard{Of: OfReplica, Replica: "a", Since: 7, Short: Tally{0, 0}}, // of another life: not taken
+		Heard{Of: OfReplica, Replica: "nobody", Bad: true}, Heard{Of: OfZone, Zone: 9}, Heard{Of: OfZone, Zone: -1})
+	first := slowness()
+	require.Greater(t, first, 2.0)
+	require.LessOrEqual(t, first, heardSlow)
+	s.to(s.now + paceSpan)
+	c.Clock(s.now)
+	require.Less(t, slowness(), first, "it fades")
+	s.lines("steady 10 20 1 4000 0,0")
+	require.Less(t, slowness(), 1.3)
+	s.hear(Heard{Of: OfReplica, Replica: "a", Short: Tally{3, 2}, Bad: true, Lasts: 9})
+	s.turn(func() { s.list("Complete", []string{"a/0/healthy/100", "b/0"}) })
+	require.InDelta(t, 1, slowness(), 1e-9, "a restart ends what was heard")
+}
+
+// Usual and shortest times that are told wrong bar neither copies nor searches.
+func TestHeardTimes(t *testing.T) {
+	for _, v := range []float64{1e-9, 1e12, math.Inf(1)} {
+		s := begin(t, "start a/0 b/0\nwhen b Ok 20\nsilent a")
+		s.hear(Heard{Of: OfFleet, Usual: v, Shortest: v})
+		s.lines("mark steady 10 100 1 2000 0,0")
+		s.lines("expect 10 answer true .*")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,7 +63,7 @@
 	heardMost = 3.0     // answers that hearsay weighs at the most: as many own ones replace it
 	heardSlow = 8.0     // times the usual that is believed by hearsay: more would only be a larger lie
 	heardSpan = 300_000 // longest that hearsay counts: a trouble of half a minute ago has often passed
-	heardSway = 4.0     // times by which a heard usual answer time may miss the assumed one
+	heardSway = 4.0     // times that a heard usual answer time may be under the assumed one
 	heardBest = 0.4     // of the usual time, under which no heard shortest counts: alone it closes no slots
 )
 
@@ -389,10 +389,12 @@
 		if bad || doubt {
 			// Guards against replicas that take parts and answer none, or refuse: used only where no sound one
 			// holds the shard, full or not (heard of only: or all are full), but for trial parts: it may heal.
+			// On hearsay alone, a search has to have a part to spare for it.
 			if load += 1e5; bad {
 				load += 1e6
 			}
-			if c.now >= max(r.trialAt, c.trialAt) && len(p.tries) == 0 && c.effect(p.s) == "retryable" {
+			if c.now >= max(r.trialAt, c.trialAt) && len(p.tries) == 0 && c.effect(p.s) == "retryable" &&
+				(bad || p.s.need < p.s.most-1e-4) {
 				load = -1
 			}
 		} else if c.away(r.zone) && (c.now < c.ways[r.zone].trialAt || p.s.need >= p.s.most-1e-4) {
@@ -896,7 +898,7 @@
 	}
 	switch r := c.fleet[h.Replica]; {
 	case h.Of == OfFleet && h.Usual > 0:
-		c.firstUsual, c.usualAt = max(firstPace/heardSway, min(firstPace*heardSway, h.Usual)), 0
+		c.firstUsual, c.usualAt = max(firstPace/heardSway, min(firstPace, h.Usual)), 0 // longer would bar copies
 		if c.best == 0 && h.Shortest > 0 {
 			c.best, c.bestAt = min(c.common(), max(h.Shortest, heardBest*c.common())), c.now
 		}
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -227,22 +227,31 @@
 func play(t *testing.T, text string) []string { return perform(t, text).all }
 
 func perform(t *testing.T, text string) *stage {
+	s := begin(t, text)
+	s.to(s.now + 100_000)
+	for id, owed := range s.finals {
+		require.Zero(t, owed, "search %d has no final answer", id)
+	}
+	return s
+}
+
+func begin(t *testing.T, text string) *stage {
 	s := &stage{t: t, facts: map[string]string{}, replies: map[string][]string{}, legs: map[uint64]int{},
 		lossy: map[string]uint64{}, out: map[uint64]int{}, ended: map[[2]uint64]bool{}, now: 10,
 		owner: map[uint64]uint64{}, finals: map[uint64]int{}, steps: map[uint64]string{}}
 	s.c = New(s)
 	s.line(append([]string{"facts"}, strings.Fields(usualFacts)...))
+	s.lines(text)
+	return s
+}
+
+func (s *stage) lines(text string) {
 	for _, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		if w := strings.Fields(line); len(w) > 0 {
 			s.line(w)
 		}
 	}
-	s.to(s.now + 100_000)
-	for id, owed := range s.finals {
-		require.Zero(t, owed, "search %d has no final answer", id)
-	}
-	return s
 }
 
 // Nothing of a search is held once it has its final answer, however long its client would have waited. Guards
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,329 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/binary"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"chalkring/learn"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func hosts(n int) []learn.Note {
+	notes := make([]learn.Note, n)
+	for i := range notes {
+		notes[i] = learn.Note{ID: fmt.Sprintf("host-%05d", i), ShortN: 80, LongN: 200, Short: 120, Long: -90,
+			Since: 1_790_000_000_000, Age: 1200, Bad: i%9 == 0}
+	}
+	return notes
+}
+
+// serve answers as peer "b" with so many hosts; edit changes the server before it starts.
+func serve(t *testing.T, n int, edit func(s *Server)) (addr string, refused func() string) {
+	why := atomic.Value{}
+	notes := hosts(n)
+	s := &Server{Name: "b", Instance: 7, Allow: []string{"a"}, Done: func() {},
+		Admit: func(string) (bool, time.Duration) { return true, 0 },
+		Report: func(context.Context) (learn.Head, []learn.Note, error) {
+			return learn.Head{Peer: "b", Serial: 1, Hosts: uint32(n)}, notes, nil
+		},
+		Status:  func(context.Context) (Status, error) { return Status{Name: "b", Hosts: uint32(n)}, nil },
+		Refused: func(_, words string) { why.Store(words) }}
+	if edit != nil {
+		edit(s)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ln, ended := listen(t), make(chan error)
+	go func() { ended <- s.Serve(ctx, ln) }()
+	t.Cleanup(func() { stop(); require.NoError(t, <-ended) })
+	return ln.Addr().String(), func() string { w, _ := why.Load().(string); return w }
+}
+
+// ask asks and counts the hosts that came.
+func ask(addr string, edit func(a *Asking)) (how learn.Outcome, later time.Duration, got int, err error) {
+	a := &Asking{Peer: "b", Addr: addr, Me: "a", Instance: 1, Dial: (&net.Dialer{}).DialContext,
+		Head:  func(learn.Head) error { return nil },
+		Notes: func(notes []learn.Note) error { got += len(notes); return nil }}
+	if edit != nil {
+		edit(a)
+	}
+	how, later, err = a.Run(context.Background())
+	return how, later, got, err
+}
+
+func TestReport(t *testing.T) {
+	addr, _ := serve(t, 10_000, nil)
+	how, _, got, err := ask(addr, nil)
+	require.NoError(t, err)
+	require.Equal(t, learn.Told, how)
+	require.Equal(t, 10_000, got)
+	s, err := (&Asking{Addr: addr, Me: "a", Dial: (&net.Dialer{}).DialContext}).Status(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, uint32(10_000), s.Hosts)
+}
+
+func TestWhatAskersAreTold(t *testing.T) {
+	addr, refused := serve(t, 3, func(s *Server) {
+		s.Admit = func(name string) (bool, time.Duration) { return name != "busy", 1500 * time.Millisecond }
+		s.Allow = append(s.Allow, "busy")
+	})
+	how, later, _, err := ask(addr, func(a *Asking) { a.Me = "busy" })
+	require.NoError(t, err)
+	require.Equal(t, learn.Later, how)
+	require.Equal(t, 1500*time.Millisecond, later)
+	how, _, _, err = ask(addr, func(a *Asking) { a.Me = "stranger" })
+	require.Equal(t, learn.Refused, how)
+	require.ErrorContains(t, err, "name")
+	require.NotEmpty(t, refused())
+	how, _, _, _ = ask(addr, func(a *Asking) { a.Instance = 7 })
+	require.Equal(t, learn.Myself, how)
+	how, _, _, err = ask(addr, func(a *Asking) { a.Peer = "c" })
+	require.Equal(t, learn.Refused, how, "%v", err)
+	for text, code := range map[string]string{
+		"\x00\x00\x00\x02hx":        noUse,
+		"\x00\x00\x00\x01s":         noUse,
+		"\xff\xff\xff\xffh":         noUse,
+		frameOf(hello{Version: 2}):  noVersion,
+		frameOf(hello{Version: 1}):  noName,
+		frameOf([]string{"a", "b"}): noUse,
+	} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		conn.Write([]byte(text))
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		kind, rest, _, err := readFrame(conn, nil)
+		require.NoError(t, err)
+		require.Equal(t, byte(kindNo), kind)
+		var n no
+		require.NoError(t, decode(rest, &n))
+		require.Equal(t, code, n.Code, "%q", text)
+		conn.Close()
+	}
+}
+
+func frameOf(v any) string {
+	b, _ := appendFrame(nil, kindHello, v)
+	return string(b)
+}
+
+// Every way in which a peer can be no use: each asking ends in time, with nothing but an outcome.
+func TestUselessPeers(t *testing.T) {
+	frame := func(kind byte, v any) []byte {
+		b, err := appendFrame(nil, kind, v)
+		require.NoError(t, err)
+		return b
+	}
+	head := frame(kindHead, learn.Head{Peer: "b", Hosts: 1000})
+	slice := frame(kindNotes, hosts(10))
+	say := func(text []byte) func(conn net.Conn) { return func(conn net.Conn) { conn.Write(text) } }
+	gone := listen(t)
+	gone.Close()
+	for name, do := range map[string]func(conn net.Conn){
+		"unreachable": nil,
+		"silent":      func(conn net.Conn) { io.Copy(io.Discard, conn) },
+		"a byte a time": func(conn net.Conn) {
+			for _, b := range append(append([]byte(nil), head...), slice...) {
+				if _, err := conn.Write([]byte{b}); err != nil {
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		},
+		"noise":            say(bytes.Repeat([]byte("\x00\x00\x00\x10noise"), 100)),
+		"huge length":      say([]byte("\xff\xff\xff\xffr")),
+		"no length":        say(make([]byte, 4)),
+		"closes in a head": say(head[:len(head)-2]),
+		"closes between":   say(head),
+		"closes in slices": say(append(append([]byte(nil), head...), slice...)),
+		"slices first":     say(slice),
+		"two heads":        say(append(append([]byte(nil), head...), head...)),
+		"no checksum":      say(append(append([]byte(nil), head...), frame(kindEnd, []byte("12345678"))...)),
+		"later in between": say(append(append([]byte(nil), head...), frame(kindLater, uint32(1))...)),
+		"bad names":        say(append(append([]byte(nil), head...), frame(kindNotes, []learn.Note{{ID: "a b"}})...)),
+		"endless": func(conn net.Conn) {
+			for conn.Write(head); ; {
+				if _, err := conn.Write(slice); err != nil {
+					return
+				}
+			}
+		},
+		"deep": say(append([]byte("\x00\x00\x04\x01r"), bytes.Repeat([]byte{0x81}, 1024)...)),
+		"many": say(append([]byte("\x00\x00\x00\x06s\x9a\xff\xff\xff\xff"), head...)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := gone.Addr().String()
+			if do != nil {
+				ln := listen(t)
+				addr = ln.Addr().String()
+				go func() {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					io.ReadFull(conn, make([]byte, 12))
+					do(conn)
+				}()
+			}
+			began := time.Now()
+			how, _, _, err := ask(addr, func(a *Asking) {
+				a.Notes = func(notes []learn.Note) error {
+					if a.Instance += uint64(len(notes)); a.Instance > 1000 {
+						return fmt.Errorf("more hosts than the head tells")
+					}
+					return nil
+				}
+			})
+			require.Equal(t, learn.Failed, how)
+			require.Error(t, err)
+			require.Less(t, time.Since(began), wholeTime+5*time.Second)
+		})
+	}
+}
+
+// authority signs certificates for tests and writes them to files.
+type authority struct {
+	t    *testing.T
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
+	require.NoError(t, err)
+	a.write("ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	require.NoError(a.t, os.WriteFile(filepath.Join(a.dir, name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// issue writes name.pem and name.key for a certificate of subject.
+func (a *authority) issue(name, subject string, serial int64) {
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{SerialNumber: big.NewInt(serial),
+		Subject: pkix.Name{CommonName: subject}, DNSNames: []string{subject}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour)}, a.cert, &key.PublicKey, a.key)
+	require.NoError(a.t, err)
+	text, _ := x509.MarshalECPrivateKey(key)
+	a.write(name+".pem", "CERTIFICATE", der)
+	a.write(name+".key", "EC PRIVATE KEY", text)
+}
+
+func (a *authority) keys(name string, complain func(error)) *Keys {
+	file := func(n string) string { return filepath.Join(a.dir, n) }
+	k, err := NewKeys(file(name+".pem"), file(name+".key"), file("ca.pem"), complain)
+	require.NoError(a.t, err)
+	return k
+}
+
+func TestKeys(t *testing.T) {
+	a, other := newAuthority(t), newAuthority(t)
+	a.issue("a", "a", 2)
+	a.issue("b", "b", 3)
+	other.issue("a", "a", 4)
+	complaints := make(chan error, 8)
+	addr, refused := serve(t, 3, func(s *Server) { s.Keys = a.keys("b", func(err error) { complaints <- err }) })
+	with := func(k *Keys) func(*Asking) { return func(x *Asking) { x.Keys = k } }
+	how, _, got, err := ask(addr, with(a.keys("a", nil)))
+	require.NoError(t, err)
+	require.Equal(t, learn.Told, how)
+	require.Equal(t, 3, got)
+	how, _, _, _ = ask(addr, with(other.keys("a", nil)))
+	require.Equal(t, learn.Failed, how, "another authority")
+	how, _, _, _ = ask(addr, nil)
+	require.Equal(t, learn.Failed, how, "no keys at all")
+	require.Eventually(t, func() bool { return strings.Contains(refused(), "handshake") }, 10*time.Second, time.Millisecond)
+	how, _, _, _ = ask(addr, with(a.keys("b", nil)))
+	require.Equal(t, learn.Refused, how, "the certificate of another name")
+	how, _, _, _ = ask(addr, func(x *Asking) { x.Keys, x.Peer = a.keys("a", nil), "c" })
+	require.Equal(t, learn.Failed, how, "not the peer that was meant")
+
+	// Half replaced: the last good pair stays in force, and that is told once. Whole again: the new one is taken.
+	k := a.keys("a", func(err error) { complaints <- err })
+	before, _ := k.current()
+	require.NoError(t, os.WriteFile(filepath.Join(a.dir, "a.pem"), []byte("half"), 0o600))
+	for range 3 {
+		now, _ := k.current()
+		require.Equal(t, before.Certificate, now.Certificate)
+	}
+	require.Len(t, complaints, 1)
+	a.issue("a", "a", 5)
+	now, _ := k.current()
+	require.NotEqual(t, before.Certificate, now.Certificate)
+	how, _, _, err = ask(addr, with(k))
+	require.NoError(t, err)
+	require.Equal(t, learn.Told, how)
+}
+
+func FuzzFrames(f *testing.F) {
+	slice, _ := EncodeNotes(hosts(3))
+	head, _ := appendFrame(nil, kindHead, learn.Head{Peer: "b", Zones: []learn.Zone{{Name: "z"}}})
+	f.Add(slice)
+	f.Add(head[5:])
+	f.Add(bytes.Repeat([]byte{0x81}, 4000))
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if notes, err := DecodeNotes(text); err == nil {
+			require.LessOrEqual(t, len(notes), learn.SliceMost)
+			again, err := EncodeNotes(notes)
+			require.NoError(t, err)
+			back, err := DecodeNotes(again)
+			require.NoError(t, err)
+			require.Equal(t, notes, back)
+		}
+		if h, err := DecodeHead(text); err == nil {
+			require.NoError(t, learn.NewShelf("", nil).Begin(0, h))
+		}
+		framed := append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+		if _, rest, _, err := readFrame(bytes.NewReader(framed), nil); err == nil {
+			require.Equal(t, text[1:], rest[:len(text)-1])
+		}
+	})
+}
+
+func BenchmarkSlice(b *testing.B) {
+	notes, bytes := hosts(10_000), 0
+	for b.Loop() {
+		bytes = 0
+		for at := 0; at < len(notes); at += learn.SliceMost {
+			text, _ := EncodeNotes(notes[at:min(len(notes), at+learn.SliceMost)])
+			bytes += len(text)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(len(notes)), "bytes/host")
+}
--- /dev/null
+++ b/standin/client.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"chalkring/internal/http1"
+)
+
+// Search is one search of a client's schedule.
+type Search struct {
+	At       time.Duration // from the start of the schedule
+	ID       string
+	Type     string
+	Shards   []int
+	Patience time.Duration
+}
+
+// Text is the request.
+func (s Search) Text() string {
+	var parts []string
+	for _, shard := range s.Shards {
+		parts = append(parts, fmt.Sprintf(`{"range":%d,"portion":%g}`, shard, 1/float64(len(s.Shards))))
+	}
+	body := fmt.Sprintf(`{"ranges":[%s],"predicate":"c41e77d0"}`, strings.Join(parts, ","))
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %.3f\r\n"+
+		"Content-Length: %d\r\n\r\n%s", s.Type, s.ID, s.Type, s.Patience.Seconds(), len(body), body)
+}
+
+// Result is what came of a search; its time counts from when it was due, not from when it could be sent.
+type Result struct {
+	At     time.Duration
+	Took   time.Duration
+	Status int // 0 for no answer
+	Type   string
+	Body   string
+}
+
+// Load plays a schedule against a co-ordinator, each search at its time however slow the answers before it are, over
+// connections that are kept and of which more are opened when all are busy.
+func Load(ctx context.Context, addr string, searches []Search) []Result {
+	results := make([]Result, len(searches))
+	idle := make(chan net.Conn, len(searches))
+	var g sync.WaitGroup
+	start := time.Now()
+	for i, s := range searches {
+		select {
+		case <-time.After(s.At - time.Since(start)):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			results = results[:i]
+			break
+		}
+		g.Go(func() {
+			r := Result{At: s.At, Type: s.Type}
+			r.Status, r.Body = one(addr, s, idle)
+			r.Took = time.Since(start) - s.At
+			results[i] = r
+		})
+	}
+	g.Wait()
+	for {
+		select {
+		case conn := <-idle:
+			conn.Close()
+		default:
+			return results
+		}
+	}
+}
+
+// one sends a search on a connection that is free. One that was closed meanwhile is tried once more on a new one, as
+// clients do.
+func one(addr string, s Search, idle chan net.Conn) (status int, body string) {
+	for range 2 {
+		var conn net.Conn
+		kept := true
+		select {
+		case conn = <-idle:
+		default:
+			kept = false
+			var err error
+			if conn, err = net.DialTimeout("tcp", addr, s.Patience); err != nil {
+				return 0, err.Error()
+			}
+		}
+		conn.SetDeadline(time.Now().Add(s.Patience + time.Second))
+		if _, err := conn.Write([]byte(s.Text())); err != nil {
+			conn.Close()
+			continue
+		}
+		status, _, text, keep, err := http1.NewReader(conn, make([]byte, 16<<10)).Response()
+		if err != nil {
+			conn.Close()
+			if kept {
+				continue
+			}
+			return 0, err.Error()
+		}
+		if keep {
+			idle <- conn
+		} else {
+			conn.Close()
+		}
+		return status, string(text)
+	}
+	return 0, "no connection"
+}
--- a/work/pool.go
+++ b/work/pool.go
@@ -130,13 +130,14 @@
 		}()
 		return r.do(ctx, &Allowance{pool: p, id: id})
 	}()
-	r.ctx()
+	calledOff := ctx.Err() != nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r.ctx()
 	r.ctx = nil
 	if over, why := p.plan.Ended(p.now(), id, err); over {
 		delete(p.runs, id)
-		if why != nil && ctx.Err() == nil {
+		if why != nil && !calledOff {
 			p.fault(r.name, fmt.Errorf("%w: %w", why, err))
 		}
 	}
