Measurements of memory and of a peer's cost; askers are let in at a paced rate

Change: chalklab measure memory and peers run a co-ordinator in a process of its own; a peer that connects without a pause is let in 40 times a second. Without that bound such a peer cost 700 connects a second.

--- a/cmd/chalklab/main.go
+++ b/cmd/chalklab/main.go
@@ -21,6 +21,16 @@
 
 type line struct {
 	Measure measure `cmd:"" help:"Run one measurement and print one JSON line; exit code 1 where an aim is missed."`
+	Node    node    `cmd:"" hidden:""`
+}
+
+// node is the co-ordinator's process of the measurements that look at memory and CPU time.
+type node struct{}
+
+func (node) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return lab.Node(ctx)
 }
 
 type measure struct {
--- /dev/null
+++ b/lab/cost.go
@@ -0,0 +1,258 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"chalkring/coordinator"
+	"chalkring/learn"
+	"chalkring/peer"
+	"chalkring/standin"
+	"chalkring/work"
+)
+
+const (
+	memoryRate   = 2000.0           // searches a second
+	memoryFor    = 25 * time.Second // as long as it took to see the limit passed
+	memoryWait   = time.Minute      // that clients wait
+	memoryMB     = 192              // the plan's limit
+	costRate     = 1200.0           // searches a second: over half of what one core bears
+	costFor      = 4 * time.Second  // of each stretch, with a peer asking and without in turn
+	costTurns    = 4                // stretches of each
+	costMost     = 0.02             // of the searches' CPU time that a peer asking without pause may cost
+	valueBytes   = 2000             // of an answer's value, in the memory measurement
+	dueToStart   = 10 * time.Second // for a co-ordinator's process to serve
+	askWithout   = time.Millisecond // between two askings of a peer that does not pause
+	pageSize     = 4096
+	clockTicks   = 100 // a second, of the system's CPU times
+	nodeInstance = "CHALKLAB_PEER"
+)
+
+// process is a co-ordinator in a process of its own, so that its memory and CPU time are its own.
+type process struct {
+	cmd  *exec.Cmd
+	addr string
+	peer string // where it answers askers
+}
+
+// launch starts a co-ordinator for a fleet; chalklab's own program plays it.
+func (f *fleet) launch(ctx context.Context, seed int64) (*process, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "chalklab")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	p := &process{}
+	for _, addr := range []*string{&p.addr, &p.peer} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		*addr = ln.Addr().String()
+		ln.Close()
+	}
+	facts, _ := json.Marshal(settings(1))
+	path := filepath.Join(dir, "plan.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"%016x",
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":1024},"known":%s,"settings":%s}`, p.addr, f.list.Ln.Addr(),
+		uint64(seed), memoryMB, f.list.Known(), facts), 0o600); err != nil {
+		return nil, err
+	}
+	p.cmd = exec.CommandContext(ctx, self, "node")
+	p.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, nodeInstance+"="+p.peer, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=")
+	p.cmd.Cancel = func() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+	p.cmd.WaitDelay = 10 * time.Second
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	for until := time.Now().Add(dueToStart); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", p.addr); err == nil {
+			conn.Close()
+			return p, nil
+		}
+	}
+	return nil, errors.Join(errors.New("the co-ordinator's process does not serve"), p.end())
+}
+
+// Node is the co-ordinator's process: the plan that GW_CONFIG names, and an answering peer.
+func Node(ctx context.Context) error {
+	plan, err := coordinator.Read(os.Getenv)
+	if err != nil {
+		return err
+	}
+	plan.Bound()
+	ln, err := net.Listen("tcp", plan.Listen)
+	if err != nil {
+		return err
+	}
+	more := &coordinator.Peers{Allow: []string{"asker"}, Budgets: map[string]work.Budget{"answer": {Concurrent: 4}}}
+	if more.Listener, err = net.Listen("tcp", os.Getenv(nodeInstance)); err != nil {
+		return err
+	}
+	return plan.Serve(ctx, coordinator.Means{Listener: ln, Dial: (&net.Dialer{}).DialContext,
+		Clock: coordinator.SystemClock{}, Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Peers: more})
+}
+
+func (p *process) end() error {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	return p.cmd.Wait()
+}
+
+// resident is the process's memory in MB.
+func (p *process) resident() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	f := strings.Fields(string(text))
+	if err != nil || len(f) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(f[1], 64)
+	return pages * pageSize / (1 << 20)
+}
+
+// cpu is the process's CPU time in seconds.
+func (p *process) cpu() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, rest, ok := bytes.Cut(text, []byte(") "))
+	f := strings.Fields(string(rest))
+	if err != nil || !ok || len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / clockTicks
+}
+
+// Memory measures the resident memory of one co-ordinator at 2,000 searches a second whose clients wait a minute:
+// it follows what is open, not rate times patience, and stays under the plan's limit.
+func Memory(ctx context.Context, seed int64) (Result, error) {
+	ctx, stop := context.WithTimeout(ctx, 55*time.Second)
+	defer stop()
+	value := strings.Repeat("v", valueBytes)
+	f, err := newFleet(16, func(i int) func(p standin.Part) {
+		wait := uniform(seed+int64(i), 2*time.Millisecond, 4*time.Millisecond)
+		return func(p standin.Part) {
+			time.AfterFunc(wait(), func() { p.Reply("good", "1", value) })
+		}
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.close()
+	p, err := f.launch(ctx, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	most, ended := 0.0, make(chan []standin.Result)
+	go func() { ended <- standin.Load(ctx, p.addr, schedule(seed, "m", memoryRate, memoryFor, memoryWait)) }()
+	var got []standin.Result
+	for got == nil {
+		select {
+		case got = <-ended:
+		case <-time.After(100 * time.Millisecond):
+			most = max(most, p.resident())
+		}
+	}
+	if err := p.end(); err != nil {
+		return Result{}, err
+	}
+	answered := 0
+	for _, r := range got {
+		if r.Status == 200 {
+			answered++
+		}
+	}
+	out := Result{Fields: map[string]any{"searches": len(got), "answered": answered, "resident_mb": round(most),
+		"limit_mb": memoryMB, "p99_ms": round(1000 * quantile(got, 0.99).Seconds())}}
+	if most > memoryMB {
+		out.Missed = append(out.Missed, fmt.Sprintf("%.0f MB resident, over the limit of %d MB", most, memoryMB))
+	}
+	return out, ctx.Err()
+}
+
+// PeerCost measures what a peer that asks without pause costs the searches of the one it asks: the CPU time of its
+// process a search, with the peer and without in turn.
+func PeerCost(ctx context.Context, seed int64) (Result, error) {
+	ctx, stop := context.WithTimeout(ctx, 55*time.Second)
+	defer stop()
+	f, err := newFleet(64, func(i int) func(p standin.Part) {
+		wait := uniform(seed+int64(i), 2*time.Millisecond, 4*time.Millisecond)
+		return func(p standin.Part) { time.AfterFunc(wait(), p.Good) }
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.close()
+	p, err := f.launch(ctx, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	asked, answered := 0, 0
+	stretch := func(i int, asking bool) (cpu, p50 float64, whole int) {
+		ask, enough := context.WithCancel(ctx)
+		var g sync.WaitGroup
+		if asking {
+			g.Go(func() {
+				for ask.Err() == nil {
+					how, _, _ := (&peer.Asking{Peer: "n0", Addr: p.peer, Me: "asker", Dial: (&net.Dialer{}).DialContext,
+						Head: func(learn.Head) error { return nil }, Notes: func([]learn.Note) error { return nil }}).Run(ask)
+					if asked++; how == learn.Told {
+						answered++
+					}
+					time.Sleep(askWithout)
+				}
+			})
+		}
+		before := p.cpu()
+		got := standin.Load(ctx, p.addr, schedule(seed+int64(i), fmt.Sprintf("c%d-%t", i, asking), costRate, costFor, labPatience))
+		cpu = p.cpu() - before
+		enough()
+		g.Wait()
+		for _, r := range got {
+			if r.Status == 200 {
+				whole++
+			}
+		}
+		return cpu, quantile(got, 0.5).Seconds(), whole
+	}
+	stretch(-1, false)
+	var with, without, p50With, p50Without []float64
+	for i := range costTurns {
+		for _, asking := range []bool{i%2 == 0, i%2 == 1} {
+			cpu, p50, whole := stretch(i, asking)
+			if each := cpu / float64(max(1, whole)); asking {
+				with, p50With = append(with, each), append(p50With, p50)
+			} else {
+				without, p50Without = append(without, each), append(p50Without, p50)
+			}
+		}
+	}
+	if err := p.end(); err != nil {
+		return Result{}, err
+	}
+	more := mean(with)/mean(without) - 1
+	out := Result{Fields: map[string]any{"cpu_us_alone": round(1e6 * mean(without)), "cpu_us_asked": round(1e6 * mean(with)),
+		"more": round(more), "p50_ms_alone": round(1000 * median(p50Without)), "p50_ms_asked": round(1000 * median(p50With)),
+		"askings": asked, "answered": answered}}
+	if more > costMost {
+		out.Missed = append(out.Missed, fmt.Sprintf("a search costs %.1f%% more CPU time with a peer asking", 100*more))
+	}
+	return out, ctx.Err()
+}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -7,10 +7,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand"
 	"net"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +28,8 @@
 // Measures are the measurements by name.
 var Measures = map[string]func(ctx context.Context, seed int64) (Result, error){
 	"learning": Learning,
+	"memory":   Memory,
+	"peers":    PeerCost,
 }
 
 const (
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"chalkring/learn"
 )
@@ -37,8 +38,13 @@
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
 	room := make(chan struct{}, connsMost)
+	// Guards against an asker that connects again and again without a pause: others wait a little, searches do not.
+	pace := rate.NewLimiter(connsEach, connsMost)
 	g.Go(func() error {
 		for {
+			if pace.Wait(ctx) != nil {
+				return nil
+			}
 			select {
 			case room <- struct{}{}:
 			case <-ctx.Done():
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -28,6 +28,7 @@
 	wholeTime   = 10 * time.Second       // for a whole answer: 4 MiB at half a megabyte a second
 	dialTime    = time.Second            // for a connection to come up
 	connsMost   = 32                     // askers connected at once; more wait in the system's backlog
+	connsEach   = 40                     // askers a second that are let in, after a burst of connsMost
 	acceptPause = 100 * time.Millisecond // before accepting again after a failure to
 	wordsMost   = 200                    // bytes of a refusal's words
 )
