--- a/coordinator/peers_test.go
+++ b/coordinator/peers_test.go
@@ -62,7 +62,8 @@
 	b.end()
 }
 
-// Peers of no use: searches and /healthz wait for none of it, and the co-ordinator ends in the middle of asking.
+// Peers of no use: searches and /healthz wait for none of it, nor does a new plan, and the co-ordinator ends in the
+// middle of asking.
 func TestUselessPeersDelayNothing(t *testing.T) {
 	deaf := listen(t)
 	gone := listen(t)
@@ -77,6 +78,8 @@
 	require.Equal(t, 200, status)
 	c.want("q", "all", 200, wholeOfAll)
 	require.Less(t, time.Since(began), 2*time.Second, "a deaf peer takes longer to give up")
+	r.plans <- r.plan // a new plan in the middle of asking
+	r.logged("event=reloaded")
 	r.logged("how=failed")
 	r.logged("how=myself")
 	r.end()
--- a/logic/heard_test.go
+++ b/logic/heard_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -148,3 +149,27 @@
 		s.lines("expect 10 answer true .*")
 	}
 }
+
+// One slice of a list of 10,000 that is all known: the owner's time for it.
+func BenchmarkKnow(b *testing.B) {
+	c := New(discard{}).(*coordinator)
+	c.Start(1, map[string]string{"Specifics.Sets": "1", "Specifics.Reach": "1"})
+	c.Clock(1)
+	for i := range 10_000 {
+		c.Entry(fmt.Sprintf("host-%05d", i), 0, 0, 0, "healthy", 1, 0)
+	}
+	c.ListDone("Complete", 1)
+	for _, r := range c.list {
+		r.took(1, 5)
+		r.answered = 1
+	}
+	told := 0
+	for b.Loop() {
+		c.Know(512, 512, func(Belief) { told++ })
+	}
+	require.Positive(b, told)
+}
+
+type discard struct{ Out }
+
+func (discard) Watch() {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -379,7 +379,8 @@
 		bad, doubt := c.suspect(r), c.doubted(r)
 		sound = sound || !bad
 		out := func(t *try) bool { return t.r == r && !t.settled }
-		if !c.room(r) || !c.coldRoom(r) || slices.ContainsFunc(p.tries, out) {
+		if !c.room(r) || !c.coldRoom(r) || slices.ContainsFunc(p.tries, out) ||
+			c.now < c.doubtsTo && !c.warm(r) && c.spared(p.shard) {
 			continue
 		}
 		load := float64(r.calls)
@@ -908,6 +909,7 @@
 		r.short, r.long, r.doubtTo = take(h.Short), take(h.Long), 0
 		if n, _ := r.past.read(c.now, pastSpan); h.Bad && n < 1 {
 			r.doubtTo = c.now + min(heardSpan, h.Lasts)
+			c.doubtsTo = max(c.doubtsTo, r.doubtTo)
 			r.trialAt = max(r.trialAt, c.now+c.chance.Int63n(trialWait)) // not all learners' trials at once
 		}
 	}
@@ -923,5 +925,12 @@
 	return n, n * h.slower
 }
 
+// spared passes a cold replica over by chance, as often as hearsay keeps parts from other holders of the
+// shard: what it takes from those must not push a cold one.
+func (c *coordinator) spared(shard int) bool {
+	all := c.holders(shard)
+	return slices.ContainsFunc(all[c.chance.Intn(len(all)):][:1], c.doubted)
+}
+
 // doubted tells whether a replica was said to be bad and has not answered here since.
 func (c *coordinator) doubted(r *replica) bool { return c.now < r.doubtTo }
--- a/logic/state.go
+++ b/logic/state.go
@@ -53,6 +53,7 @@
 	flight, flightStirs int // inFlight's last count, and when it was made
 	flightAt            int64
 
+	doubtsTo   int64   // some replica was said to be bad, until then
 	firstUsual float64 // answer time assumed before any is known
 }
 
--- /dev/null
+++ b/query/merge.go
@@ -0,0 +1,351 @@
+package query
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/axiomhq/hyperloglog"
+	"github.com/influxdata/tdigest"
+)
+
+const (
+	compression = 1000 // of a digest: a thousandth of the ranks in the middle, less at the ends
+	exactKeys   = keysMost
+)
+
+// Failure is a part that is not in, and why.
+type Failure struct {
+	Shard  int
+	Index  string
+	Type   string
+	Reason string
+}
+
+// Outcome is what a search has come to: the parts that are in, and those that are not.
+type Outcome struct {
+	Answers  []*Answer
+	Failures []Failure
+	Skipped  int   // parts that were not needed
+	Took     int64 // ms
+	TimedOut bool
+}
+
+// Merge puts the parts' answers together as the API answers a search. It does not depend on the order they came in.
+// A member on two parts counts once, as the part with the lower number has it. Totals and aggregations of less than
+// all parts are told as such: the relation of the total is gte, and _shards tells how many are in.
+func (q *Request) Merge(o Outcome) []byte {
+	answers := slices.Clone(o.Answers)
+	slices.SortFunc(answers, func(a, b *Answer) int { return a.Shard - b.Shard })
+	hits, doubled := q.top(answers)
+	total, atLeast, early := 0, len(o.Failures)+o.Skipped > 0, false
+	var best *float64
+	for _, a := range answers {
+		total, atLeast, early = total+a.Total, atLeast || a.AtLeast, early || a.Early
+	}
+	if k := q.Sort[0]; k.Field == "_score" && k.Desc && len(hits) > 0 && len(q.After) == 0 {
+		best = hits[0].Score
+	}
+	if total -= doubled; q.TrackTotal < math.MaxInt && total > q.TrackTotal {
+		total, atLeast = q.TrackTotal, true
+	}
+	if len(hits) > q.From {
+		hits = hits[q.From:]
+	} else {
+		hits = nil
+	}
+	out := make([]Hit, 0, len(hits))
+	for _, h := range hits {
+		if !q.Sorted {
+			h.Sort = nil
+		}
+		out = append(out, h)
+	}
+	body := map[string]any{"max_score": best, "hits": out}
+	if q.TrackTotal > 0 {
+		relation := "eq"
+		if atLeast {
+			relation = "gte"
+		}
+		body["total"] = map[string]any{"value": total, "relation": relation}
+	}
+	shards := map[string]any{"total": len(answers) + len(o.Failures) + o.Skipped, "successful": len(answers) + o.Skipped,
+		"skipped": o.Skipped, "failed": len(o.Failures)}
+	if len(o.Failures) > 0 {
+		var all []any
+		for _, f := range o.Failures {
+			all = append(all, map[string]any{"shard": f.Shard, "index": f.Index, "node": nil,
+				"reason": map[string]any{"type": f.Type, "reason": f.Reason}})
+		}
+		shards["failures"] = all
+	}
+	all := map[string]any{"took": o.Took, "timed_out": o.TimedOut, "_shards": shards, "hits": body}
+	if early {
+		all["terminated_early"] = true
+	}
+	if len(q.Aggs) > 0 {
+		var got []map[string]any
+		for _, a := range answers {
+			got = append(got, a.Aggs)
+		}
+		all["aggregations"] = mergeAggs(q.Aggs, got)
+	}
+	text, _ := json.Marshal(all)
+	return text
+}
+
+// cursor is a part's list of hits as far as it has been taken.
+type cursor struct {
+	q    *Request
+	hits []Hit
+	part int
+}
+
+type cursors []*cursor
+
+func (c cursors) Len() int { return len(c) }
+func (c cursors) Less(i, j int) bool {
+	if by := c[i].q.compare(c[i].hits[0].Sort, c[j].hits[0].Sort); by != 0 {
+		return by < 0
+	}
+	return c[i].part < c[j].part
+}
+func (c cursors) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c *cursors) Push(v any)   { *c = append(*c, v.(*cursor)) }
+func (c *cursors) Pop() any {
+	old := *c
+	v := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return v
+}
+
+// top takes the first from+size hits of all parts, and counts those that were there twice. The heap holds a cursor a
+// part, so that no more is held than the answers themselves.
+func (q *Request) top(answers []*Answer) (hits []Hit, doubled int) {
+	var c cursors
+	for i, a := range answers {
+		if len(a.Hits) > 0 {
+			c = append(c, &cursor{q, a.Hits, i})
+		}
+	}
+	heap.Init(&c)
+	seen := map[string]bool{}
+	for len(c) > 0 && len(hits) < q.From+q.Size {
+		first := c[0]
+		h := first.hits[0]
+		if first.hits = first.hits[1:]; len(first.hits) == 0 {
+			heap.Pop(&c)
+		} else {
+			heap.Fix(&c, 0)
+		}
+		if seen[h.ID] {
+			doubled++
+			continue
+		}
+		seen[h.ID] = true
+		hits = append(hits, h)
+	}
+	for _, rest := range c {
+		for _, h := range rest.hits {
+			if seen[h.ID] {
+				doubled++
+			}
+			seen[h.ID] = true
+		}
+	}
+	return hits, doubled
+}
+
+func mergeAggs(aggs []Agg, got []map[string]any) map[string]any {
+	out := map[string]any{}
+	for _, a := range aggs {
+		of := func(suffix string) (all []map[string]any) {
+			for _, g := range got {
+				if one, ok := g[a.Name+suffix].(map[string]any); ok {
+					all = append(all, one)
+				}
+			}
+			return all
+		}
+		switch a.Kind {
+		case "terms":
+			out[a.Name] = mergeTerms(a, of(asTerms))
+		case "cardinality":
+			out[a.Name] = mergeKeys(of(asKeys))
+		case "percentiles":
+			out[a.Name] = mergePoints(a, of(asPoints), of(asCount))
+		default:
+			out[a.Name] = mergeStats(a.Kind, of(asStats))
+		}
+	}
+	return out
+}
+
+func mergeStats(kind string, all []map[string]any) map[string]any {
+	count, sum, least, most := 0.0, 0.0, math.Inf(1), math.Inf(-1)
+	for _, one := range all {
+		n, _ := number(one["count"])
+		if n == 0 {
+			continue
+		}
+		s, _ := number(one["sum"])
+		count, sum = count+n, sum+s
+		if v, ok := number(one["min"]); ok {
+			least = min(least, v)
+		}
+		if v, ok := number(one["max"]); ok {
+			most = max(most, v)
+		}
+	}
+	var v any
+	switch {
+	case kind == "value_count":
+		v = int64(count)
+	case kind == "sum":
+		v = sum
+	case count == 0:
+		v = nil
+	case kind == "avg":
+		v = sum / count
+	case kind == "min":
+		v = least
+	case kind == "max":
+		v = most
+	}
+	return map[string]any{"value": v}
+}
+
+// bucket is one key of a terms aggregation over the parts.
+type bucket struct {
+	key   any
+	count int64
+
+	subs []map[string]any
+}
+
+// mergeTerms adds up buckets. A part whose list was cut may hold up to its last count of any key that it did not
+// tell: that is the error bound of the whole, as the API tells it.
+func mergeTerms(a Agg, all []map[string]any) map[string]any {
+	buckets, others, bound := map[string]*bucket{}, int64(0), int64(0)
+	for _, one := range all {
+		rest, _ := number(one["sum_other_doc_count"])
+		others += int64(rest)
+		list := one["buckets"].([]any)
+		if n := len(list); rest > 0 && n > 0 && !a.ByKey {
+			last, _ := number(list[n-1].(map[string]any)["doc_count"])
+			bound += int64(last)
+		}
+		for _, item := range list {
+			m := item.(map[string]any)
+			n, _ := number(m["doc_count"])
+			name := fmt.Sprintf("%T%v", m["key"], m["key"])
+			b := buckets[name]
+			if b == nil {
+				b = &bucket{key: m["key"]}
+				buckets[name] = b
+			}
+			b.count += int64(n)
+			b.subs = append(b.subs, m)
+		}
+	}
+	list := make([]*bucket, 0, len(buckets))
+	for _, b := range buckets {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(x, y *bucket) int {
+		if !a.ByKey && x.count != y.count {
+			return int(y.count - x.count)
+		}
+		return order(x.key, y.key, SortKey{Desc: a.ByKey && !a.Asc})
+	})
+	out := []any{}
+	for i, b := range list {
+		if i >= a.Size {
+			others += b.count
+			continue
+		}
+		m := map[string]any{"key": b.key, "doc_count": b.count}
+		if len(a.Subs) > 0 {
+			for name, v := range mergeAggs(a.Subs, b.subs) {
+				m[name] = v
+			}
+		}
+		out = append(out, m)
+	}
+	return map[string]any{"doc_count_error_upper_bound": bound, "sum_other_doc_count": others, "buckets": out}
+}
+
+// mergeKeys counts different keys: exactly while they are few, by a sketch beyond. A part that could not tell all its
+// keys makes the value a lower bound, and that is told.
+func mergeKeys(all []map[string]any) map[string]any {
+	keys, cut := map[string]bool{}, false
+	for _, one := range all {
+		rest, _ := number(one["sum_other_doc_count"])
+		cut = cut || rest > 0
+		for _, item := range one["buckets"].([]any) {
+			keys[fmt.Sprintf("%T%v", item.(map[string]any)["key"], item.(map[string]any)["key"])] = true
+		}
+	}
+	value := uint64(len(keys))
+	if len(keys) > exactKeys {
+		sketch := hyperloglog.New16()
+		for _, k := range sortedNames(keys) {
+			sketch.Insert([]byte(k))
+		}
+		value = sketch.Estimate()
+	}
+	out := map[string]any{"value": value}
+	if cut {
+		out["lower_bound"] = true
+	}
+	return out
+}
+
+// mergePoints puts the parts' quantiles into one digest, each point with the weight of its part.
+func mergePoints(a Agg, points, counts []map[string]any) map[string]any {
+	digest := tdigest.NewWithCompression(compression)
+	total := 0.0
+	for i, one := range points {
+		n := 0.0
+		if i < len(counts) {
+			n, _ = number(counts[i]["value"])
+		}
+		if n == 0 {
+			continue
+		}
+		total += n
+		values := one["values"].(map[string]any)
+		for p := range 101 {
+			if v, ok := number(values[fmt.Sprintf("%d.0", p)]); ok {
+				weight := n / 100
+				if p == 0 || p == 100 {
+					weight /= 2
+				}
+				digest.Add(v, weight)
+			}
+		}
+	}
+	out := map[string]any{}
+	for _, p := range a.Percents {
+		name := fmt.Sprint(p)
+		if !strings.Contains(name, ".") {
+			name += ".0"
+		}
+		if out[name] = nil; total > 0 {
+			out[name] = digest.Quantile(p / 100)
+		}
+	}
+	return map[string]any{"values": out}
+}
+
+func sortedNames(m map[string]bool) []string {
+	all := make([]string, 0, len(m))
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/query/parse.go
@@ -0,0 +1,820 @@
+package query
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Clause is one clause of a query, checked.
+type Clause struct {
+	Kind      string
+	Field     string
+	Values    []any                // of term, terms, ids, prefix and match
+	Bounds    map[string]any       // of range: gt, gte, lt, lte
+	And       bool                 // of match: every word has to be there
+	Of        map[string][]*Clause // of bool: must, filter, should, must_not; of constant_score: filter
+	MinShould int                  // of bool: should clauses that have to match
+	Boost     float64
+}
+
+// SortKey is one key of a sort; Missing is "_first" or "_last", or a value that stands for a missing one.
+type SortKey struct {
+	Field   string
+	Desc    bool
+	Missing any
+}
+
+// Agg is one aggregation.
+type Agg struct {
+	Name, Kind, Field string
+	Size              int       // of terms
+	Percents          []float64 // of percentiles
+	ByKey, Asc        bool      // of terms: the order
+	Subs              []Agg
+}
+
+// Request is a search, checked and normalised.
+type Request struct {
+	Query          *Clause
+	From, Size     int
+	Sort           []SortKey // the last is _id
+	Sorted         bool      // the client named a sort: hits carry their sort values
+	After          []any
+	Source         bool
+	Includes       []string
+	Excludes       []string
+	TrackTotal     int // hits counted at least; math.MaxInt for all, 0 for none
+	MinScore       *float64
+	Timeout        time.Duration // 0 for none
+	TerminateAfter int
+	Aggs           []Agg
+}
+
+const (
+	sizeUsual  = 10     // hits where a search names no size: the API's
+	trackUsual = 10_000 // hits counted where a search does not say: the API's
+	termsUsual = 10     // buckets where an aggregation names no size: the API's
+)
+
+var percentsUsual = []float64{1, 5, 25, 50, 75, 95, 99} // the API's
+
+// Known words of the API that are not done here: they are refused by name, not as unknown.
+var (
+	knownBody = words("highlight suggest collapse rescore script_fields stored_fields docvalue_fields fields explain version " +
+		"seq_no_primary_term indices_boost post_filter profile pit slice stats runtime_mappings knn ext derived search_pipeline " +
+		"include_named_queries_score verbose_pipeline")
+	knownClauses = words("fuzzy wildcard regexp match_phrase match_phrase_prefix match_bool_prefix multi_match query_string " +
+		"simple_query_string nested has_child has_parent parent_id geo_distance geo_bounding_box geo_polygon geo_shape " +
+		"function_score script script_score dis_max boosting more_like_this percolate terms_set distance_feature rank_feature " +
+		"intervals knn neural hybrid pinned wrapper span_term span_near span_or span_not span_first span_multi xy_shape template")
+	knownAggs = words("stats extended_stats date_histogram histogram range date_range ip_range filter filters global missing nested " +
+		"reverse_nested children parent significant_terms significant_text sampler diversified_sampler composite top_hits " +
+		"geohash_grid geotile_grid geo_bounds geo_centroid matrix_stats median_absolute_deviation percentile_ranks rare_terms " +
+		"scripted_metric weighted_avg variable_width_histogram auto_date_histogram adjacency_matrix multi_terms avg_bucket " +
+		"sum_bucket min_bucket max_bucket stats_bucket percentiles_bucket derivative cumulative_sum bucket_script bucket_selector " +
+		"bucket_sort serial_diff moving_avg moving_fn")
+)
+
+func words(text string) map[string]bool {
+	m := map[string]bool{}
+	for _, w := range strings.Fields(text) {
+		m[w] = true
+	}
+	return m
+}
+
+// notDone tells a known word that is not done from an unknown one.
+func (r *reader) notDone(known map[string]bool, word string, at int, what string) error {
+	if known[word] {
+		return illegal("%s [%s] is known to the API and not done here", what, word)
+	}
+	return r.fault(at, "unknown %s [%.100s]", what, word)
+}
+
+// Parse reads and checks a search's body.
+func Parse(text []byte) (*Request, error) {
+	r, n, err := read(text)
+	if err != nil {
+		return nil, err
+	}
+	q := &Request{Query: &Clause{Kind: "match_all", Boost: 1}, Size: sizeUsual, Source: true, TrackTotal: trackUsual}
+	clauses := 0
+	for i, f := range n.fields {
+		word := n.names[i].text
+		switch word {
+		case "query":
+			q.Query, err = r.clause(f, &clauses)
+		case "from":
+			q.From, err = r.whole(f, word, 0, WindowMost)
+		case "size":
+			q.Size, err = r.whole(f, word, 0, WindowMost)
+		case "sort":
+			err = r.sort(f, q)
+		case "search_after":
+			err = r.after(f, q)
+		case "_source":
+			err = r.source(f, q)
+		case "track_total_hits":
+			err = r.track(f, q)
+		case "min_score":
+			var v float64
+			v, err = r.number(f, word)
+			q.MinScore = &v
+		case "track_scores":
+			err = r.want(f, truth, word)
+		case "timeout":
+			q.Timeout, err = r.span(f)
+		case "terminate_after":
+			q.TerminateAfter, err = r.whole(f, word, 0, math.MaxInt32)
+		case "aggs", "aggregations":
+			if len(q.Aggs) > 0 {
+				err = r.fault(n.names[i].at, "both aggs and aggregations")
+				break
+			}
+			count := 0
+			q.Aggs, err = r.aggs(f, 1, &count)
+		default:
+			err = r.notDone(knownBody, word, n.names[i].at, "part of a search")
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return q, q.check()
+}
+
+// check looks at what belongs together.
+func (q *Request) check() error {
+	if q.From+q.Size > WindowMost {
+		return illegal("Result window is too large, from + size must be less than or equal to: [%d] but was [%d]. "+
+			"Use search_after beyond it.", WindowMost, q.From+q.Size)
+	}
+	if len(q.Sort) == 0 {
+		q.Sort = []SortKey{{Field: "_score", Desc: true}}
+	}
+	if len(q.After) > 0 {
+		if !q.Sorted {
+			return illegal("search_after needs a sort")
+		}
+		if q.From > 0 {
+			return illegal("`from` parameter must be set to 0 when `search_after` is used.")
+		}
+		if n := len(q.Sort); len(q.After) != n && !(len(q.After) == n+1 && q.Sort[n-1].Field != "_id") {
+			return illegal("search_after has %d value(s) but sort has %d.", len(q.After), n)
+		}
+	}
+	for i, k := range q.Sort {
+		if k.Field == "_id" && i < len(q.Sort)-1 {
+			return illegal("sort by [_id] comes last: no two members share one")
+		}
+	}
+	if q.Sort[len(q.Sort)-1].Field != "_id" {
+		q.Sort = append(q.Sort, SortKey{Field: "_id", Missing: "_last"})
+	}
+	return nil
+}
+
+func (r *reader) clause(n *node, count *int) (*Clause, error) {
+	if *count++; *count > clausesMost {
+		return nil, &Error{Status: 400, Type: "too_many_clauses", Reason: "maxClauseCount is set to " + strconv.Itoa(clausesMost)}
+	}
+	if err := r.want(n, object, "query"); err != nil {
+		return nil, err
+	}
+	if len(n.names) != 1 {
+		return nil, r.fault(n.at, "a clause has one name, this has %d", len(n.names))
+	}
+	kind, body := n.names[0].text, n.fields[0]
+	c := &Clause{Kind: kind, Boost: 1}
+	var err error
+	switch kind {
+	case "match_all", "match_none":
+		if err = r.want(body, object, kind); err == nil {
+			err = r.only(body, kind, c, nil)
+		}
+	case "term", "prefix", "match":
+		err = r.fieldClause(body, c)
+	case "terms":
+		err = r.terms(body, c)
+	case "range":
+		err = r.rangeClause(body, c)
+	case "exists":
+		err = r.want(body, object, kind)
+		if err == nil {
+			err = r.only(body, kind, c, func(word string, f *node) (bool, error) {
+				if word != "field" {
+					return false, nil
+				}
+				c.Field = f.text
+				return true, r.want(f, str, "field")
+			})
+		}
+		if err == nil && c.Field == "" {
+			err = r.fault(body.at, "[exists] names no field")
+		}
+	case "ids":
+		err = r.want(body, object, kind)
+		if err == nil {
+			err = r.only(body, kind, c, func(word string, f *node) (bool, error) {
+				if word != "values" {
+					return false, nil
+				}
+				var err error
+				c.Values, err = r.values(f, "values")
+				return true, err
+			})
+		}
+		for _, v := range c.Values {
+			if _, text := v.(string); !text && err == nil {
+				err = r.fault(body.at, "an id is no string")
+			}
+		}
+	case "bool":
+		err = r.boolClause(body, c, count)
+	case "constant_score":
+		c.Of = map[string][]*Clause{}
+		err = r.want(body, object, kind)
+		if err == nil {
+			err = r.only(body, kind, c, func(word string, f *node) (bool, error) {
+				if word != "filter" {
+					return false, nil
+				}
+				sub, err := r.clause(f, count)
+				c.Of[word] = []*Clause{sub}
+				return true, err
+			})
+		}
+		if err == nil && len(c.Of["filter"]) == 0 {
+			err = r.fault(body.at, "[constant_score] has no filter")
+		}
+	default:
+		err = r.notDone(knownClauses, kind, n.names[0].at, "query")
+	}
+	return c, err
+}
+
+// only walks an object's fields: boost and _name everywhere, the rest by take; what it does not take is unknown.
+func (r *reader) only(n *node, what string, c *Clause, take func(word string, f *node) (bool, error)) error {
+	for i, f := range n.fields {
+		word := n.names[i].text
+		if word == "boost" {
+			v, err := r.number(f, word)
+			if err != nil {
+				return err
+			}
+			if v < 0 {
+				return r.fault(f.at, "[boost] is under 0")
+			}
+			c.Boost = v
+			continue
+		}
+		if take != nil {
+			taken, err := take(word, f)
+			if err != nil {
+				return err
+			}
+			if taken {
+				continue
+			}
+		}
+		if slices.Contains([]string{"_name", "case_insensitive", "fuzziness", "analyzer", "zero_terms_query", "format",
+			"relation", "time_zone", "rewrite", "minimum_should_match", "lenient", "value_type"}, word) {
+			return illegal("[%s] of [%s] is known to the API and not done here", word, what)
+		}
+		return r.fault(n.names[i].at, "[%s] does not know [%.100s]", what, word)
+	}
+	return nil
+}
+
+// one gives the field that a clause such as term names.
+func (r *reader) one(n *node, what string) (string, *node, error) {
+	if err := r.want(n, object, what); err != nil {
+		return "", nil, err
+	}
+	if len(n.names) != 1 {
+		return "", nil, r.fault(n.at, "[%s] names %d fields, not one", what, len(n.names))
+	}
+	return n.names[0].text, n.fields[0], r.field(n.names[0])
+}
+
+func (r *reader) field(n name) error {
+	if n.text == "" || len(n.text) > nameMost {
+		return r.fault(n.at, "a field's name of %d bytes, 1 to %d are wanted", len(n.text), nameMost)
+	}
+	return nil
+}
+
+func (r *reader) fieldClause(n *node, c *Clause) error {
+	field, f, err := r.one(n, c.Kind)
+	if err != nil {
+		return err
+	}
+	c.Field = field
+	if f.kind == object {
+		word := map[string]string{"term": "value", "prefix": "value", "match": "query"}[c.Kind]
+		err = r.only(f, c.Kind, c, func(w string, g *node) (bool, error) {
+			if c.Kind == "match" && w == "operator" {
+				op := strings.ToLower(g.text)
+				if c.And = op == "and"; op != "and" && op != "or" {
+					return true, r.fault(g.at, "[operator] is neither and nor or")
+				}
+				return true, nil
+			}
+			if w != word {
+				return false, nil
+			}
+			v, err := r.plain(g, w)
+			c.Values = []any{v}
+			return true, err
+		})
+	} else {
+		var v any
+		v, err = r.plain(f, field)
+		c.Values = []any{v}
+	}
+	if err == nil && len(c.Values) == 0 {
+		err = r.fault(f.at, "[%s] has no value", c.Kind)
+	}
+	if _, text := first(c.Values).(string); err == nil && c.Kind == "prefix" && !text {
+		err = r.fault(f.at, "[prefix] wants a string")
+	}
+	return err
+}
+
+func first(all []any) any {
+	if len(all) == 0 {
+		return nil
+	}
+	return all[0]
+}
+
+func (r *reader) values(n *node, what string) ([]any, error) {
+	if err := r.want(n, list, what); err != nil {
+		return nil, err
+	}
+	if len(n.items) > termsMost {
+		return nil, illegal("[%s] has %d values, %d at the most", what, len(n.items), termsMost)
+	}
+	var all []any
+	for _, item := range n.items {
+		v, err := r.plain(item, what)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, v)
+	}
+	return all, nil
+}
+
+func (r *reader) terms(n *node, c *Clause) error {
+	if err := r.want(n, object, c.Kind); err != nil {
+		return err
+	}
+	return r.only(n, c.Kind, c, func(word string, f *node) (bool, error) {
+		if f.kind == object {
+			return true, illegal("a lookup in [terms] is known to the API and not done here")
+		}
+		if c.Field != "" {
+			return true, r.fault(f.at, "[terms] names two fields")
+		}
+		c.Field = word
+		var err error
+		c.Values, err = r.values(f, word)
+		return true, err
+	})
+}
+
+func (r *reader) rangeClause(n *node, c *Clause) error {
+	field, f, err := r.one(n, c.Kind)
+	if err == nil {
+		err = r.want(f, object, c.Kind)
+	}
+	if err != nil {
+		return err
+	}
+	c.Field, c.Bounds = field, map[string]any{}
+	return r.only(f, c.Kind, c, func(word string, g *node) (bool, error) {
+		if !slices.Contains([]string{"gt", "gte", "lt", "lte"}, word) {
+			return false, nil
+		}
+		if g.kind == null { // the API's 'no bound'
+			return true, nil
+		}
+		v, err := r.plain(g, word)
+		c.Bounds[word] = v
+		return true, err
+	})
+}
+
+func (r *reader) boolClause(n *node, c *Clause, count *int) error {
+	if err := r.want(n, object, c.Kind); err != nil {
+		return err
+	}
+	c.Of = map[string][]*Clause{}
+	var least *node
+	err := r.only(n, c.Kind, c, func(word string, f *node) (bool, error) {
+		switch word {
+		case "must", "filter", "should", "must_not":
+			all := f.items
+			if f.kind != list {
+				all = []*node{f}
+			}
+			for _, item := range all {
+				sub, err := r.clause(item, count)
+				if err != nil {
+					return true, err
+				}
+				c.Of[word] = append(c.Of[word], sub)
+			}
+			return true, nil
+		case "minimum_should_match":
+			least = f
+			return true, nil
+		}
+		return false, nil
+	})
+	if err != nil {
+		return err
+	}
+	should := len(c.Of["should"])
+	if c.MinShould = 0; should > 0 && len(c.Of["must"])+len(c.Of["filter"]) == 0 {
+		c.MinShould = 1
+	}
+	if least == nil {
+		return nil
+	}
+	text, percent := least.text, false
+	if least.kind == str {
+		text, percent = strings.CutSuffix(text, "%")
+	}
+	v, err := strconv.Atoi(text)
+	if err != nil || least.kind != str && least.kind != num {
+		return illegal("minimum_should_match [%.40s] is known to the API and not done here: a whole number or a percentage", least.text)
+	}
+	if percent {
+		if v < -100 || v > 100 {
+			return r.fault(least.at, "[minimum_should_match] is no percentage")
+		}
+		v = int(float64(v) / 100 * float64(should)) // towards nothing, as the API rounds
+	}
+	if v < 0 {
+		v = should + v
+	}
+	c.MinShould = max(0, v)
+	return nil
+}
+
+func (r *reader) sort(n *node, q *Request) error {
+	all := n.items
+	if n.kind != list {
+		all = []*node{n}
+	}
+	if len(all) > sortMost {
+		return illegal("%d sort keys, %d at the most", len(all), sortMost)
+	}
+	for _, item := range all {
+		k := SortKey{Missing: "_last"}
+		switch {
+		case item.kind == str:
+			k.Field = item.text
+			k.Desc = k.Field == "_score"
+		case item.kind == object && len(item.names) == 1:
+			k.Field = item.names[0].text
+			k.Desc = k.Field == "_score"
+			f := item.fields[0]
+			if f.kind == str {
+				f = &node{kind: object, at: f.at, names: []name{{"order", f.at}}, fields: []*node{f}}
+			}
+			if err := r.want(f, object, "sort"); err != nil {
+				return err
+			}
+			for i, g := range f.fields {
+				switch word := f.names[i].text; word {
+				case "order":
+					if k.Desc = g.text == "desc"; g.kind != str || g.text != "asc" && g.text != "desc" {
+						return r.fault(g.at, "[order] is neither asc nor desc")
+					}
+				case "missing":
+					v, err := r.plain(g, word)
+					if err != nil {
+						return err
+					}
+					k.Missing = v
+				case "mode", "nested", "unmapped_type", "numeric_type", "format":
+					return illegal("[%s] of [sort] is known to the API and not done here", word)
+				default:
+					return r.fault(f.names[i].at, "[sort] does not know [%.100s]", word)
+				}
+			}
+		default:
+			return r.fault(item.at, "a sort key is a name or an object with one")
+		}
+		switch {
+		case k.Field == "" || len(k.Field) > nameMost:
+			return r.fault(item.at, "a sort key without a proper name")
+		case k.Field == "_script" || k.Field == "_geo_distance" || k.Field == "_doc":
+			return illegal("sort by [%s] is known to the API and not done here", k.Field)
+		case slices.ContainsFunc(q.Sort, func(o SortKey) bool { return o.Field == k.Field }):
+			return r.fault(item.at, "sort key [%.100s] is there twice", k.Field)
+		}
+		q.Sort, q.Sorted = append(q.Sort, k), true
+	}
+	return nil
+}
+
+func (r *reader) after(n *node, q *Request) error {
+	if err := r.want(n, list, "search_after"); err != nil {
+		return err
+	}
+	for _, item := range n.items {
+		if item.kind == object || item.kind == list {
+			return r.fault(item.at, "[search_after] holds plain values")
+		}
+		q.After = append(q.After, item.raw())
+	}
+	if len(q.After) == 0 || len(q.After) > sortMost+1 {
+		return r.fault(n.at, "[search_after] has %d values", len(q.After))
+	}
+	return nil
+}
+
+func (r *reader) source(n *node, q *Request) error {
+	strs := func(n *node) ([]string, error) {
+		all := n.items
+		if n.kind != list {
+			all = []*node{n}
+		}
+		var out []string
+		for _, item := range all {
+			if err := r.want(item, str, "_source"); err != nil {
+				return nil, err
+			}
+			out = append(out, item.text)
+		}
+		return out, nil
+	}
+	var err error
+	switch n.kind {
+	case truth:
+		q.Source = n.text == "true"
+	case str, list:
+		q.Includes, err = strs(n)
+	case object:
+		for i, f := range n.fields {
+			switch n.names[i].text {
+			case "includes", "include":
+				q.Includes, err = strs(f)
+			case "excludes", "exclude":
+				q.Excludes, err = strs(f)
+			default:
+				err = r.fault(n.names[i].at, "[_source] does not know [%.100s]", n.names[i].text)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	default:
+		err = r.fault(n.at, "[_source] is %s", kindWords[n.kind])
+	}
+	return err
+}
+
+func (r *reader) track(n *node, q *Request) (err error) {
+	switch {
+	case n.kind == truth && n.text == "true":
+		q.TrackTotal = math.MaxInt
+	case n.kind == truth:
+		q.TrackTotal = 0
+	default:
+		q.TrackTotal, err = r.whole(n, "track_total_hits", 1, math.MaxInt32)
+	}
+	return err
+}
+
+func (r *reader) span(n *node) (time.Duration, error) {
+	if err := r.want(n, str, "timeout"); err != nil {
+		return 0, err
+	}
+	d, err := Span(n.text)
+	if err != nil {
+		return 0, r.fault(n.at, "%v", err)
+	}
+	return d, nil
+}
+
+// Span reads a time in the API's units: nanos, micros, ms, s, m, h, d.
+func Span(text string) (time.Duration, error) {
+	for _, u := range []struct {
+		word string
+		each time.Duration
+	}{{"nanos", time.Nanosecond}, {"micros", time.Microsecond}, {"ms", time.Millisecond}, {"s", time.Second},
+		{"m", time.Minute}, {"h", time.Hour}, {"d", 24 * time.Hour}} {
+		if digits, ok := strings.CutSuffix(text, u.word); ok {
+			v, err := strconv.ParseUint(digits, 10, 31)
+			if err != nil {
+				continue
+			}
+			if float64(v)*float64(u.each) > float64(math.MaxInt64/2) {
+				break
+			}
+			return time.Duration(v) * u.each, nil
+		}
+	}
+	return 0, illegal("[%.40s] is no time such as 500ms or 2s", text)
+}
+
+func (r *reader) aggs(n *node, depth int, count *int) ([]Agg, error) {
+	if err := r.want(n, object, "aggs"); err != nil {
+		return nil, err
+	}
+	if depth > aggDepth {
+		return nil, illegal("aggregations over %d deep", aggDepth)
+	}
+	var all []Agg
+	for i, f := range n.fields {
+		if *count++; *count > aggsMost {
+			return nil, illegal("over %d aggregations", aggsMost)
+		}
+		a := Agg{Name: n.names[i].text}
+		if a.Name == "" || len(a.Name) > nameMost || strings.ContainsAny(a.Name, "[]>") {
+			return nil, r.fault(n.names[i].at, "[%.100s] is no name for an aggregation", a.Name)
+		}
+		if err := r.want(f, object, "aggs"); err != nil {
+			return nil, err
+		}
+		var subs *node
+		for j, g := range f.fields {
+			word := f.names[j].text
+			if word == "aggs" || word == "aggregations" {
+				subs = g
+				continue
+			}
+			if word == "meta" {
+				return nil, illegal("[meta] of an aggregation is known to the API and not done here")
+			}
+			if a.Kind != "" {
+				return nil, r.fault(f.names[j].at, "[%.100s] has two kinds", a.Name)
+			}
+			a.Kind = word
+			if err := r.agg(g, &a, f.names[j].at); err != nil {
+				return nil, err
+			}
+		}
+		if a.Kind == "" {
+			return nil, r.fault(f.at, "[%.100s] has no kind", a.Name)
+		}
+		if subs != nil {
+			if a.Kind != "terms" {
+				return nil, r.fault(subs.at, "[%s] takes no aggregations of its own", a.Kind)
+			}
+			var err error
+			if a.Subs, err = r.aggs(subs, depth+1, count); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+func (r *reader) agg(n *node, a *Agg, at int) error {
+	switch a.Kind {
+	case "terms", "min", "max", "sum", "avg", "value_count", "cardinality", "percentiles":
+	default:
+		return r.notDone(knownAggs, a.Kind, at, "aggregation")
+	}
+	if err := r.want(n, object, a.Kind); err != nil {
+		return err
+	}
+	a.Size, a.Percents = termsUsual, percentsUsual
+	var err error
+	for i, f := range n.fields {
+		word := n.names[i].text
+		switch {
+		case word == "field":
+			a.Field, err = f.text, r.want(f, str, word)
+		case word == "size" && a.Kind == "terms":
+			a.Size, err = r.whole(f, word, 1, bucketsMost)
+		case word == "order" && a.Kind == "terms":
+			err = r.order(f, a)
+		case word == "percents" && a.Kind == "percentiles":
+			err = r.percents(f, a)
+		case slices.Contains([]string{"missing", "script", "format", "shard_size", "min_doc_count", "include", "exclude", "keyed",
+			"precision_threshold", "tdigest", "hdr", "show_term_doc_count_error", "collect_mode", "execution_hint",
+			"value_type", "shard_min_doc_count"}, word):
+			err = illegal("[%s] of [%s] is known to the API and not done here", word, a.Kind)
+		default:
+			err = r.fault(n.names[i].at, "[%s] does not know [%.100s]", a.Kind, word)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if a.Field == "" || len(a.Field) > nameMost {
+		return r.fault(n.at, "[%s] names no proper field", a.Kind)
+	}
+	return nil
+}
+
+func (r *reader) order(n *node, a *Agg) error {
+	if n.kind != object || len(n.names) != 1 {
+		return illegal("an order of several keys is known to the API and not done here")
+	}
+	if a.ByKey = n.names[0].text == "_key"; !a.ByKey && n.names[0].text != "_count" {
+		return illegal("order by [%.100s] is known to the API and not done here; by _count or _key is", n.names[0].text)
+	}
+	if a.Asc = n.fields[0].text == "asc"; !a.Asc && n.fields[0].text != "desc" {
+		return r.fault(n.fields[0].at, "[order] is neither asc nor desc")
+	}
+	if a.Asc && !a.ByKey {
+		return illegal("order by rising _count is known to the API and not done here: its errors have no bound")
+	}
+	return nil
+}
+
+func (r *reader) percents(n *node, a *Agg) error {
+	if err := r.want(n, list, "percents"); err != nil {
+		return err
+	}
+	a.Percents = nil
+	for _, item := range n.items {
+		v, err := r.number(item, "percents")
+		if err != nil {
+			return err
+		}
+		if v < 0 || v > 100 {
+			return r.fault(item.at, "a percent of %g", v)
+		}
+		a.Percents = append(a.Percents, v)
+	}
+	if len(a.Percents) == 0 || len(a.Percents) > 100 {
+		return r.fault(n.at, "%d percents", len(a.Percents))
+	}
+	return nil
+}
+
+// json is the clause in the API's form, normalised.
+func (c *Clause) json() any {
+	body := map[string]any{}
+	if c.Boost != 1 {
+		body["boost"] = c.Boost
+	}
+	with := func(word string, v any) map[string]any { body[word] = v; return body }
+	switch c.Kind {
+	case "term", "prefix":
+		return map[string]any{c.Kind: map[string]any{c.Field: with("value", c.Values[0])}}
+	case "match":
+		if c.And {
+			body["operator"] = "and"
+		}
+		return map[string]any{c.Kind: map[string]any{c.Field: with("query", c.Values[0])}}
+	case "terms":
+		return map[string]any{c.Kind: with(c.Field, listOf(c.Values))}
+	case "ids":
+		return map[string]any{c.Kind: with("values", listOf(c.Values))}
+	case "exists":
+		return map[string]any{c.Kind: with("field", c.Field)}
+	case "range":
+		for word, v := range c.Bounds {
+			body[word] = v
+		}
+		return map[string]any{c.Kind: map[string]any{c.Field: body}}
+	case "constant_score":
+		return map[string]any{c.Kind: with("filter", c.Of["filter"][0].json())}
+	case "bool":
+		for word, all := range c.Of {
+			var subs []any
+			for _, sub := range all {
+				subs = append(subs, sub.json())
+			}
+			body[word] = subs
+		}
+		if len(c.Of["should"]) > 0 {
+			body["minimum_should_match"] = c.MinShould
+		}
+	}
+	return map[string]any{c.Kind: body}
+}
+
+func listOf(all []any) []any {
+	if all == nil {
+		return []any{}
+	}
+	return all
+}
+
+// number is a JSON number or any float as a float.
+func number(v any) (float64, bool) {
+	switch v := v.(type) {
+	case json.Number:
+		f, err := v.Float64()
+		return f, err == nil
+	case float64:
+		return v, true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/query/part.go
@@ -0,0 +1,334 @@
+package query
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+)
+
+const (
+	keysMost   = 10_000  // keys that a part tells of a cardinality; beyond, the value is told as a lower bound
+	shardExtra = 10      // buckets a part tells beyond half as many again as are wanted: the API's rule
+	answerMost = 8 << 20 // bytes of a host's answer
+)
+
+// The suffixes under which a part asks hosts for what an aggregation is put together from.
+const (
+	asStats  = "#stats"
+	asKeys   = "#keys"
+	asPoints = "#points"
+	asCount  = "#count"
+	asTerms  = "#terms"
+)
+
+// Part is the body that a part asks a host with: the same for all parts of a search. Each asks for all hits that the
+// whole may need, under one fixed order that ends with _id, and for what its aggregations are put together from.
+func (q *Request) Part() []byte {
+	body := map[string]any{"query": q.Query.json(), "size": q.From + q.Size}
+	var sort []any
+	scores := false
+	for _, k := range q.Sort {
+		by := map[string]any{"order": "asc"}
+		if k.Desc {
+			by["order"] = "desc"
+		}
+		if k.Field == "_score" {
+			scores = true
+		} else if k.Field != "_id" {
+			by["missing"] = k.Missing
+		}
+		sort = append(sort, map[string]any{k.Field: by})
+	}
+	body["sort"] = sort
+	if scores {
+		body["track_scores"] = true
+	}
+	if len(q.After) > 0 {
+		body["search_after"] = q.After
+	}
+	switch {
+	case !q.Source:
+		body["_source"] = false
+	case len(q.Includes)+len(q.Excludes) > 0:
+		body["_source"] = map[string]any{"includes": append([]string{}, q.Includes...), "excludes": append([]string{}, q.Excludes...)}
+	}
+	switch q.TrackTotal {
+	case math.MaxInt:
+		body["track_total_hits"] = true
+	case 0:
+		body["track_total_hits"] = false
+	default:
+		body["track_total_hits"] = q.TrackTotal
+	}
+	if q.MinScore != nil {
+		body["min_score"] = *q.MinScore
+	}
+	if q.TerminateAfter > 0 {
+		body["terminate_after"] = q.TerminateAfter
+	}
+	if len(q.Aggs) > 0 {
+		body["aggs"] = partAggs(q.Aggs)
+	}
+	text, _ := json.Marshal(body) // map keys come sorted: equal searches have equal texts
+	return text
+}
+
+func partAggs(aggs []Agg) map[string]any {
+	out := map[string]any{}
+	for _, a := range aggs {
+		switch a.Kind {
+		case "terms":
+			order := map[string]any{"_count": "desc"}
+			size := a.Size + a.Size/2 + shardExtra
+			if a.ByKey {
+				order = map[string]any{"_key": "desc"}
+				if a.Asc {
+					order["_key"] = "asc"
+				}
+				size = a.Size // by key, no part can miss a bucket that belongs to the whole
+			}
+			one := map[string]any{"terms": map[string]any{"field": a.Field, "size": size, "order": order}}
+			if len(a.Subs) > 0 {
+				one["aggs"] = partAggs(a.Subs)
+			}
+			out[a.Name+asTerms] = one
+		case "cardinality":
+			out[a.Name+asKeys] = map[string]any{"terms": map[string]any{"field": a.Field, "size": keysMost,
+				"order": map[string]any{"_key": "asc"}}}
+		case "percentiles":
+			points := make([]float64, 101)
+			for i := range points {
+				points[i] = float64(i)
+			}
+			out[a.Name+asPoints] = map[string]any{"percentiles": map[string]any{"field": a.Field, "percents": points}}
+			out[a.Name+asCount] = map[string]any{"value_count": map[string]any{"field": a.Field}}
+		default:
+			out[a.Name+asStats] = map[string]any{"stats": map[string]any{"field": a.Field}}
+		}
+	}
+	return out
+}
+
+// Hit is one member that matches, as a host gave it.
+type Hit struct {
+	Index  string          `json:"_index"`
+	ID     string          `json:"_id"`
+	Score  *float64        `json:"_score"`
+	Source json.RawMessage `json:"_source,omitempty"`
+	Sort   []any           `json:"sort,omitempty"`
+}
+
+// Answer is what a host answered to a part, checked.
+type Answer struct {
+	Shard   int
+	Total   int
+	AtLeast bool // the total is a lower bound
+	Early   bool // the host stopped at terminate_after
+	Hits    []Hit
+	Aggs    map[string]any
+}
+
+// ErrAnswer is a host's answer that cannot be used. The part may have run; the host has failed it.
+var ErrAnswer = errors.New("a host's answer that cannot be used")
+
+func spoilt(format string, v ...any) error {
+	return fmt.Errorf("%w: %s", ErrAnswer, fmt.Sprintf(format, v...))
+}
+
+// ReadAnswer takes a host's answer to a part apart and looks at all that a whole rests on. Guards against a host that
+// answers in valid syntax and leaves its part out, ran out of time, speaks of another index, doubles a hit, sends
+// them in no order or more than were asked for, gives scores that are no numbers, or a total below its hits.
+func (q *Request) ReadAnswer(shard int, index string, text []byte) (*Answer, error) {
+	if len(text) > answerMost {
+		return nil, spoilt("%d bytes", len(text))
+	}
+	var a struct {
+		TimedOut *bool `json:"timed_out"`
+		Early    bool  `json:"terminated_early"`
+		Shards   *struct {
+			Total, Successful, Failed int
+		} `json:"_shards"`
+		Hits *struct {
+			Total json.RawMessage `json:"total"`
+			Hits  []Hit           `json:"hits"`
+		} `json:"hits"`
+		Aggs map[string]any `json:"aggregations"`
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	if err := d.Decode(&a); err != nil {
+		return nil, spoilt("%v", err)
+	}
+	switch {
+	case a.TimedOut == nil || a.Shards == nil || a.Hits == nil:
+		return nil, spoilt("no timed_out, _shards or hits")
+	case *a.TimedOut:
+		return nil, spoilt("timed_out")
+	case a.Shards.Failed != 0 || a.Shards.Successful != 1 || a.Shards.Total != 1:
+		return nil, spoilt("_shards: %d of %d, %d failed", a.Shards.Successful, a.Shards.Total, a.Shards.Failed)
+	case len(a.Hits.Hits) > q.From+q.Size:
+		return nil, spoilt("%d hits, %d were asked for", len(a.Hits.Hits), q.From+q.Size)
+	}
+	out := &Answer{Shard: shard, Hits: a.Hits.Hits, Aggs: a.Aggs, Early: a.Early}
+	if err := out.total(a.Hits.Total, q.TrackTotal == 0); err != nil {
+		return nil, err
+	}
+	seen := map[string]bool{}
+	for i, h := range out.Hits {
+		switch {
+		case h.ID == "" || seen[h.ID]:
+			return nil, spoilt("hit %.60q is there twice or has no id", h.ID)
+		case index != "" && h.Index != index:
+			return nil, spoilt("a hit of index %.60q", h.Index)
+		case len(h.Sort) != len(q.Sort):
+			return nil, spoilt("%d sort values for %d keys", len(h.Sort), len(q.Sort))
+		case h.Score != nil && (math.IsNaN(*h.Score) || math.IsInf(*h.Score, 0)):
+			return nil, spoilt("a score that is no number")
+		case fmt.Sprint(h.Sort[len(h.Sort)-1]) != h.ID:
+			return nil, spoilt("hit %.60q is sorted as %.60v", h.ID, h.Sort[len(h.Sort)-1])
+		case i > 0 && q.compare(out.Hits[i-1].Sort, h.Sort) >= 0:
+			return nil, spoilt("hits in no order")
+		}
+		seen[h.ID] = true
+	}
+	return out, q.checkAggs(q.Aggs, a.Aggs)
+}
+
+func (a *Answer) total(text json.RawMessage, untracked bool) error {
+	var t struct {
+		Value    int    `json:"value"`
+		Relation string `json:"relation"`
+	}
+	switch {
+	case untracked:
+		a.Total, a.AtLeast = len(a.Hits), true
+		return nil
+	case len(text) == 0:
+		return spoilt("no total")
+	case text[0] == '{':
+		if err := json.Unmarshal(text, &t); err != nil || t.Relation != "eq" && t.Relation != "gte" {
+			return spoilt("total %.60s", text)
+		}
+	default:
+		if err := json.Unmarshal(text, &t.Value); err != nil {
+			return spoilt("total %.60s", text)
+		}
+	}
+	if t.Value < len(a.Hits) {
+		return spoilt("a total of %d for %d hits", t.Value, len(a.Hits))
+	}
+	a.Total, a.AtLeast = t.Value, t.Relation == "gte"
+	return nil
+}
+
+// checkAggs looks that all that was asked for is there in its form.
+func (q *Request) checkAggs(aggs []Agg, got map[string]any) error {
+	for name, asked := range partAggs(aggs) {
+		one, _ := got[name].(map[string]any)
+		if one == nil {
+			return spoilt("aggregation %.60q is missing", name)
+		}
+		for kind := range asked.(map[string]any) {
+			switch kind {
+			case "terms":
+				buckets, ok := one["buckets"].([]any)
+				if !ok {
+					return spoilt("aggregation %.60q has no buckets", name)
+				}
+				for _, b := range buckets {
+					m, _ := b.(map[string]any)
+					if n, ok := number(m["doc_count"]); !ok || n < 0 || m["key"] == nil {
+						return spoilt("a bucket of %.60q without key or count", name)
+					}
+				}
+			case "stats":
+				if _, ok := number(one["count"]); !ok {
+					return spoilt("aggregation %.60q has no count", name)
+				}
+			case "value_count":
+				if _, ok := number(one["value"]); !ok {
+					return spoilt("aggregation %.60q has no value", name)
+				}
+			case "percentiles":
+				if _, ok := one["values"].(map[string]any); !ok {
+					return spoilt("aggregation %.60q has no values", name)
+				}
+			}
+		}
+	}
+	for _, a := range aggs {
+		if len(a.Subs) == 0 {
+			continue
+		}
+		for _, b := range got[a.Name+asTerms].(map[string]any)["buckets"].([]any) {
+			if err := q.checkAggs(a.Subs, b.(map[string]any)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// compare orders two hits by their sort values.
+func (q *Request) compare(a, b []any) int {
+	for i, k := range q.Sort {
+		if c := order(a[i], b[i], k); c != 0 {
+			return c
+		}
+	}
+	return 0
+}
+
+// order compares two sort values: missing ones first or last as the key says, numbers before texts.
+func order(a, b any, k SortKey) int {
+	if a == nil || b == nil {
+		c := 0
+		if a == nil && b != nil {
+			c = 1
+		} else if a != nil {
+			c = -1
+		}
+		if k.Missing == "_first" {
+			c = -c
+		}
+		return c
+	}
+	x, isX := number(a)
+	y, isY := number(b)
+	c := 0
+	switch {
+	case isX && isY:
+		if c = cmp.Compare(x, y); c == 0 {
+			c = exact(a, b)
+		}
+	case isX != isY:
+		if c = 1; isX {
+			c = -1
+		}
+	default:
+		c = strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+	}
+	if k.Desc {
+		c = -c
+	}
+	return c
+}
+
+// exact compares whole numbers that are equal as floats: beyond 2^53 they may differ.
+func exact(a, b any) int {
+	x, ok1 := a.(json.Number)
+	y, ok2 := b.(json.Number)
+	if !ok1 || !ok2 {
+		return 0
+	}
+	m, err1 := x.Int64()
+	n, err2 := y.Int64()
+	if err1 != nil || err2 != nil {
+		return 0
+	}
+	return cmp.Compare(m, n)
+}
--- /dev/null
+++ b/query/query_test.go
@@ -0,0 +1,369 @@
+package query_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chalkring/query"
+	"chalkring/standin"
+)
+
+func parse(t require.TestingT, text string) *query.Request {
+	q, err := query.Parse([]byte(text))
+	require.NoError(t, err, text)
+	return q
+}
+
+// members draws some with fields of all kinds, missing ones and lists among them.
+func members(seed int64, n int) []standin.Member {
+	chance := rand.New(rand.NewSource(seed))
+	words := strings.Fields("red green blue chess tango hiking opera jazz")
+	var all []standin.Member
+	for i := range n {
+		m := standin.Member{ID: fmt.Sprintf("m%04d", i), Fields: map[string]any{"age": float64(18 + chance.Intn(60)),
+			"town": words[chance.Intn(3)], "about": words[chance.Intn(8)] + " " + words[chance.Intn(8)]}}
+		if chance.Intn(4) > 0 {
+			m.Fields["rank"] = float64(chance.Intn(9)) / 2
+		}
+		if chance.Intn(3) > 0 {
+			m.Fields["likes"] = []any{words[chance.Intn(8)], words[chance.Intn(8)]}
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// draw makes a query's text.
+func draw(c *rand.Rand, depth int) string {
+	words := strings.Fields("red green blue chess tango hiking opera jazz")
+	w := func() string { return words[c.Intn(len(words))] }
+	kinds := 9
+	if depth > 0 {
+		kinds = 11
+	}
+	switch c.Intn(kinds) {
+	case 0:
+		return `{"match_all":{}}`
+	case 1:
+		return fmt.Sprintf(`{"term":{"town":%q}}`, w())
+	case 2:
+		return fmt.Sprintf(`{"terms":{"likes":[%q,%q]}}`, w(), w())
+	case 3:
+		return fmt.Sprintf(`{"range":{"age":{"gte":%d,"lt":%d}}}`, 18+c.Intn(40), 40+c.Intn(40))
+	case 4:
+		return `{"exists":{"field":"rank"}}`
+	case 5:
+		return fmt.Sprintf(`{"prefix":{"town":{"value":%q,"boost":2}}}`, w()[:1])
+	case 6:
+		return fmt.Sprintf(`{"ids":{"values":["m0001","m0007","m%04d"]}}`, c.Intn(200))
+	case 7:
+		return fmt.Sprintf(`{"match":{"about":{"query":"%s %s","operator":%q}}}`, w(), w(), []string{"and", "or"}[c.Intn(2)])
+	case 8:
+		return `{"match_none":{}}`
+	case 9:
+		return fmt.Sprintf(`{"constant_score":{"filter":%s,"boost":1.5}}`, draw(c, depth-1))
+	}
+	list := func() string {
+		var all []string
+		for range c.Intn(3) {
+			all = append(all, draw(c, depth-1))
+		}
+		return "[" + strings.Join(all, ",") + "]"
+	}
+	return fmt.Sprintf(`{"bool":{"must":%s,"filter":%s,"should":%s,"must_not":%s}}`, list(), list(), list(), list())
+}
+
+func search(c *rand.Rand) string {
+	sort := []string{`[{"rank":{"order":"desc","missing":"_first"}},"age"]`, `["_score","town"]`, `[{"town":"desc"}]`,
+		`["_score"]`}[c.Intn(4)]
+	return fmt.Sprintf(`{"query":%s,"from":%d,"size":%d,"sort":%s,"track_total_hits":true,"aggs":{
+		"towns":{"terms":{"field":"town","size":2},"aggs":{"old":{"max":{"field":"age"}}}},
+		"likes":{"terms":{"field":"likes","order":{"_key":"asc"},"size":4}},
+		"mean":{"avg":{"field":"age"}},"sum":{"sum":{"field":"rank"}},"n":{"value_count":{"field":"rank"}},
+		"least":{"min":{"field":"rank"}},"kinds":{"cardinality":{"field":"likes"}},
+		"p":{"percentiles":{"field":"age","percents":[50]}}}}`, draw(c, 2), c.Intn(4), c.Intn(30), sort)
+}
+
+// split deals members to parts and answers each; the result is in no fixed order.
+func split(t require.TestingT, q *query.Request, all []standin.Member, parts int, c *rand.Rand) []*query.Answer {
+	blocks := make([]standin.Members, parts)
+	for _, m := range all {
+		b := &blocks[c.Intn(parts)]
+		b.All = append(b.All, m)
+	}
+	var answers []*query.Answer
+	for i := range blocks {
+		blocks[i].Index = "members"
+		text, err := blocks[i].Search(q.Part())
+		require.NoError(t, err)
+		a, err := q.ReadAnswer(i, "members", text)
+		require.NoError(t, err, "%s\n%s", q.Part(), text)
+		answers = append(answers, a)
+	}
+	c.Shuffle(len(answers), func(i, j int) { answers[i], answers[j] = answers[j], answers[i] })
+	return answers
+}
+
+func decoded(t require.TestingT, text []byte) map[string]any {
+	var m map[string]any
+	require.NoError(t, json.Unmarshal(text, &m))
+	return m
+}
+
+// Whatever the split, and in whatever order the parts come, the whole is what one block with all members answers:
+// hits to the letter, counts and exact aggregations too, percentiles nearly, and a cut list within the bound it tells.
+func TestSplittingAndMerging(t *testing.T) {
+	all := members(1, 200)
+	count := 500
+	if testing.Short() {
+		count = 50
+	}
+	for i := range count {
+		c := rand.New(rand.NewSource(int64(i)))
+		text := search(c)
+		q := parse(t, text)
+		one := decoded(t, q.Merge(query.Outcome{Answers: split(t, q, all, 1, c)}))
+		more := decoded(t, q.Merge(query.Outcome{Answers: split(t, q, all, 1+c.Intn(12), c)}))
+		require.Equal(t, one["hits"], more["hits"], text)
+		a, b := one["aggregations"].(map[string]any), more["aggregations"].(map[string]any)
+		p, r := a["p"], b["p"]
+		delete(a, "p")
+		delete(b, "p")
+		require.InDelta(t, a["sum"].(map[string]any)["value"], b["sum"].(map[string]any)["value"], 1e-9)
+		require.Equal(t, a, b, text)
+		x, okX := p.(map[string]any)["values"].(map[string]any)["50.0"].(float64)
+		y, okY := r.(map[string]any)["values"].(map[string]any)["50.0"].(float64)
+		require.Equal(t, okX, okY)
+		if n := one["hits"].(map[string]any)["total"].(map[string]any)["value"].(float64); okX && n > 60 {
+			require.InDelta(t, x, y, 6, text)
+		}
+		// An independent look at totals and the order of hits.
+		ref := standin.Members{Index: "members", All: all}
+		got, err := ref.Search(q.Part())
+		require.NoError(t, err)
+		want := decoded(t, got)["hits"].(map[string]any)
+		require.Equal(t, want["total"], more["hits"].(map[string]any)["total"])
+		ids := func(list any) []any {
+			out := []any{}
+			for _, h := range list.([]any) {
+				out = append(out, h.(map[string]any)["_id"])
+			}
+			return out
+		}
+		require.Equal(t, ids(want["hits"])[min(q.From, len(ids(want["hits"]))):], ids(more["hits"].(map[string]any)["hits"]), text)
+	}
+}
+
+// Pages by search_after, one after another, are all members once.
+func TestPages(t *testing.T) {
+	all := members(2, 150)
+	c := rand.New(rand.NewSource(1))
+	var got []string
+	after := ""
+	for range 20 {
+		q := parse(t, `{"size":10,"sort":[{"town":"asc"},{"rank":{"missing":"_first"}}]`+after+`}`)
+		hits := decoded(t, q.Merge(query.Outcome{Answers: split(t, q, all, 5, c)}))["hits"].(map[string]any)["hits"].([]any)
+		if len(hits) == 0 {
+			break
+		}
+		for _, h := range hits {
+			got = append(got, h.(map[string]any)["_id"].(string))
+		}
+		last, _ := json.Marshal(hits[len(hits)-1].(map[string]any)["sort"])
+		after = `,"search_after":` + string(last)
+	}
+	require.Len(t, got, 150)
+	slices.Sort(got)
+	require.Len(t, slices.Compact(got), 150)
+}
+
+// A member on two parts counts once, and less than all parts is told as such.
+func TestHonest(t *testing.T) {
+	q := parse(t, `{"track_total_hits":true}`)
+	block := standin.Members{Index: "members", All: members(1, 5)}
+	text, _ := block.Search(q.Part())
+	a, err := q.ReadAnswer(0, "members", text)
+	require.NoError(t, err)
+	b, _ := q.ReadAnswer(1, "members", text)
+	whole := decoded(t, q.Merge(query.Outcome{Answers: []*query.Answer{b, a}}))
+	require.Equal(t, map[string]any{"value": 5.0, "relation": "eq"}, whole["hits"].(map[string]any)["total"])
+	require.Len(t, whole["hits"].(map[string]any)["hits"], 5)
+	part := decoded(t, q.Merge(query.Outcome{Answers: []*query.Answer{a}, Skipped: 1,
+		Failures: []query.Failure{{Shard: 2, Index: "members", Type: "timed_out", Reason: "late"}}}))
+	require.Equal(t, "gte", part["hits"].(map[string]any)["total"].(map[string]any)["relation"])
+	shards := part["_shards"].(map[string]any)
+	require.Equal(t, []any{3.0, 2.0, 1.0, 1.0}, []any{shards["total"], shards["successful"], shards["skipped"], shards["failed"]})
+	require.Len(t, shards["failures"], 1)
+}
+
+func TestRefusals(t *testing.T) {
+	deep := strings.Repeat(`{"bool":{"must":`, 1000) + `{"match_all":{}}` + strings.Repeat(`}}`, 1000)
+	many := strings.Repeat(`{"match_all":{}},`, 10_000)
+	for text, want := range map[string]string{
+		`{"query":{"match_all":{}}`:                                       "[1:26] the body ends in the middle",
+		"{\n \"qery\":{}}":                                                "[2:2] unknown part of a search [qery]",
+		`{"highlight":{}}`:                                                "part of a search [highlight] is known to the API and not done here",
+		`{"query":{"wildcard":{"a":"b*"}}}`:                               "query [wildcard] is known to the API and not done here",
+		"{\"query\":\n{\"trm\":{}}}":                                      "[2:2] unknown query [trm]",
+		`{"query":{"term":{"a":1},"terms":{}}}`:                           "a clause has one name",
+		`{"query":{"term":{"a":{"valu":1}}}}`:                             "[1:24] [term] does not know [valu]",
+		`{"query":{"term":{"a":[1]}}}`:                                    "where a plain value is wanted",
+		`{"query":{"term":{"a":{"value":1,"case_insensitive":true}}}}`:    "not done here",
+		`{"query":{"range":{"a":{"from":1}}}}`:                            "does not know [from]",
+		`{"query":{"ids":{"values":[1]}}}`:                                "an id is no string",
+		`{"size":1,"size":2}`:                                             "[1:11] duplicate name \"size\"",
+		`{"from":9999,"size":2}`:                                          "Result window is too large",
+		`{"size":-1}`:                                                     "[size] is -1",
+		`{"size":1e3}`:                                                    "[size] is no whole number",
+		`{"search_after":[1]}`:                                            "search_after needs a sort",
+		`{"sort":["a"],"search_after":[1,2,3]}`:                           "search_after has 3 value(s) but sort has 1",
+		`{"sort":["a","a"]}`:                                              "is there twice",
+		`{"sort":["_id","a"]}`:                                            "sort by [_id] comes last",
+		`{"sort":[{"_script":{}}]}`:                                       "not done here",
+		`{"timeout":"soon"}`:                                              "is no time such as",
+		`{"timeout":5}`:                                                   "where a string is wanted",
+		`{"aggs":{"a":{"histogram":{"field":"x"}}}}`:                      "aggregation [histogram] is known to the API and not done here",
+		`{"aggs":{"a":{"maxx":{"field":"x"}}}}`:                           "unknown aggregation [maxx]",
+		`{"aggs":{"a":{"max":{}}}}`:                                       "names no proper field",
+		`{"aggs":{"a":{"max":{"field":"x"},"aggs":{}}}}`:                  "takes no aggregations of its own",
+		`{"aggs":{"a":{"terms":{"field":"x","order":{"_count":"asc"}}}}}`: "not done here",
+		`{"query":` + deep + `}`:                                          "nested over",
+		`{"query":{"bool":{"must":[` + many[:len(many)-1] + `]}}}`:        "maxClauseCount",
+		"{\"query\":{\"term\":{\"a\":\"\xff\"}}}":                         "[1:24] the body is no UTF-8",
+		`[]`:    "the body is an array",
+		`{} {}`: "behind the end",
+		`{"a":` + strings.Repeat(" ", 1<<20) + `1}`: "a body of",
+	} {
+		_, err := query.Parse([]byte(text))
+		assert.ErrorContains(t, err, want, "%.80s", text)
+		var e *query.Error
+		require.ErrorAs(t, err, &e)
+		require.Contains(t, []int{400, 413}, e.Status)
+		require.True(t, json.Valid(e.Body()))
+	}
+}
+
+// Numbers beyond 2^53 keep their digits and their order.
+func TestLargeNumbers(t *testing.T) {
+	q := parse(t, `{"query":{"term":{"a":9007199254740993}},"sort":["a"],"search_after":[9007199254740993]}`)
+	require.Contains(t, string(q.Part()), `"value":9007199254740993`)
+	require.Contains(t, string(q.Part()), `"search_after":[9007199254740993]`)
+	answer := func(first, second string) error {
+		_, err := q.ReadAnswer(0, "", []byte(fmt.Sprintf(`{"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{
+			"total":{"value":2,"relation":"eq"},"hits":[{"_id":"x","sort":[%s,"x"]},{"_id":"y","sort":[%s,"y"]}]}}`, first, second)))
+		return err
+	}
+	require.NoError(t, answer("9007199254740993", "9007199254740994"))
+	require.Error(t, answer("9007199254740994", "9007199254740993"))
+}
+
+// Every answer that a whole must not rest on.
+func TestSpoiltAnswers(t *testing.T) {
+	q := parse(t, `{"size":2,"sort":["age"],"aggs":{"t":{"terms":{"field":"town"},"aggs":{"m":{"max":{"field":"age"}}}}}}`)
+	block := standin.Members{Index: "members", All: members(1, 9)}
+	good, err := block.Search(q.Part())
+	require.NoError(t, err)
+	_, err = q.ReadAnswer(0, "members", good)
+	require.NoError(t, err)
+	edit := func(do func(m, hits map[string]any)) []byte {
+		m := decoded(t, good)
+		do(m, m["hits"].(map[string]any))
+		text, _ := json.Marshal(m)
+		return text
+	}
+	for name, text := range map[string][]byte{
+		"cut":         good[:len(good)/2],
+		"empty":       []byte(`{}`),
+		"no JSON":     []byte(`hello`),
+		"timed out":   edit(func(m, _ map[string]any) { m["timed_out"] = true }),
+		"a part less": edit(func(m, _ map[string]any) { m["_shards"] = map[string]any{"total": 1, "successful": 0, "failed": 1} }),
+		"no part":     edit(func(m, _ map[string]any) { m["_shards"] = map[string]any{"total": 0, "successful": 0, "failed": 0} }),
+		"doubled":     edit(func(_, h map[string]any) { l := h["hits"].([]any); h["hits"] = []any{l[0], l[0]} }),
+		"unsorted":    edit(func(_, h map[string]any) { l := h["hits"].([]any); h["hits"] = []any{l[1], l[0]} }),
+		"too many":    edit(func(_, h map[string]any) { h["hits"] = append(h["hits"].([]any), h["hits"].([]any)...) }),
+		"total lies":  edit(func(_, h map[string]any) { h["total"] = map[string]any{"value": 1, "relation": "eq"} }),
+		"no total":    edit(func(_, h map[string]any) { delete(h, "total") }),
+		"other index": edit(func(_, h map[string]any) { h["hits"].([]any)[0].(map[string]any)["_index"] = "other" }),
+		"bad score":   []byte(strings.Replace(string(good), `"_score":1`, `"_score":"x"`, 1)),
+		"no sort":     edit(func(_, h map[string]any) { delete(h["hits"].([]any)[0].(map[string]any), "sort") }),
+		"no buckets":  edit(func(m, _ map[string]any) { m["aggregations"] = map[string]any{} }),
+		"no subs": edit(func(m, _ map[string]any) {
+			b := m["aggregations"].(map[string]any)["t#terms"].(map[string]any)["buckets"].([]any)[0].(map[string]any)
+			delete(b, "m#stats")
+		}),
+	} {
+		_, err := q.ReadAnswer(0, "members", text)
+		require.ErrorIs(t, err, query.ErrAnswer, name)
+	}
+}
+
+func TestTermsBound(t *testing.T) {
+	q := parse(t, `{"size":0,"aggs":{"t":{"terms":{"field":"k","size":3}}}}`)
+	rapid.Check(t, func(t *rapid.T) {
+		counts := map[string]float64{}
+		var all []standin.Member
+		for i, k := range rapid.SliceOfN(rapid.IntRange(0, 60), 50, 400).Draw(t, "keys") {
+			key := fmt.Sprint("k", k)
+			counts[key]++
+			all = append(all, standin.Member{ID: fmt.Sprint(i), Fields: map[string]any{"k": key}})
+		}
+		c := rand.New(rand.NewSource(rapid.Int64().Draw(t, "split")))
+		got := decoded(t, q.Merge(query.Outcome{Answers: split(t, q, all, 4, c)}))["aggregations"].(map[string]any)["t"].(map[string]any)
+		sum := got["sum_other_doc_count"].(float64)
+		for _, b := range got["buckets"].([]any) {
+			m := b.(map[string]any)
+			sum += m["doc_count"].(float64)
+			require.LessOrEqual(t, math.Abs(counts[m["key"].(string)]-m["doc_count"].(float64)), got["doc_count_error_upper_bound"])
+		}
+		require.Equal(t, float64(len(all)), sum, "no member is lost between buckets and the rest")
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for i := range 20 {
+		f.Add([]byte(search(rand.New(rand.NewSource(int64(i))))))
+	}
+	f.Add([]byte(`{"query":{"bool":{"should":{"match_all":{}},"minimum_should_match":"-50%"}}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if q, err := query.Parse(text); err == nil {
+			_, err := query.Parse(q.Part())
+			require.True(t, err == nil || len(q.Aggs) > 0, "what is asked of a host is of the language too: %v", err)
+		}
+	})
+}
+
+func FuzzAnswer(f *testing.F) {
+	q := parse(f, `{"size":2,"sort":["age"],"aggs":{"t":{"terms":{"field":"town"}},"p":{"percentiles":{"field":"age"}}}}`)
+	block := standin.Members{Index: "members", All: members(1, 9)}
+	good, _ := block.Search(q.Part())
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if a, err := q.ReadAnswer(0, "members", text); err == nil {
+			require.True(t, json.Valid(q.Merge(query.Outcome{Answers: []*query.Answer{a}})))
+		}
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	text := []byte(search(rand.New(rand.NewSource(3))))
+	for b.Loop() {
+		query.Parse(text)
+	}
+}
+
+func BenchmarkMerge30Of100(b *testing.B) {
+	q := parse(b, `{"size":100}`)
+	answers := split(b, q, members(1, 9000), 30, rand.New(rand.NewSource(1)))
+	for b.Loop() {
+		q.Merge(query.Outcome{Answers: answers})
+	}
+}
