OpenSearch-style front: search, msearch, count, tasks and cat over the same owner and module

Need: partner apps send member searches in that API. Change: coordinator.Door hands other fronts' searches to the owner, and looks at each value before its part counts as in; front/opensearch serves the API with bounds on counts, bytes and time; the installation file names its indices; chalkring search asks either front. Off unless an installation names it. A stop waits for other fronts' last answers: before, a search that was answered in the stop could lose its answer to the end of the owner (seen in the new test). Measured: suite on loopback, 40 searches with a hanging and a spoiling host equal to the reference, one answer each. Hosts that speak the API themselves are not done yet.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -22,6 +22,7 @@
 	"github.com/lmittmann/tint"
 
 	"chalkring/coordinator"
+	"chalkring/front/opensearch"
 	"chalkring/installation"
 	"chalkring/peer"
 	"chalkring/work"
@@ -31,6 +32,7 @@
 	Serve   serve   `cmd:"" default:"withargs" help:"Work as a co-ordinator by the plan that GW_CONFIG names (what plain chalkring does)."`
 	Check   check   `cmd:"" help:"Look at plans (.json) and installation files (.yaml) as serve would, and say what is wrong with them."`
 	Peers   peers   `cmd:"" help:"Ask each peer that an installation file names how it stands."`
+	Search  search  `cmd:"" help:"Send a search to either front and show what comes."`
 	Version version `cmd:"" help:"Tell what was built."`
 }
 
@@ -70,6 +72,7 @@
 		return noStart(err)
 	}
 	var more *coordinator.Peers
+	var fronts []coordinator.Front
 	if s.Installation != "" {
 		file, err := installation.Read(s.Installation)
 		if err != nil {
@@ -79,6 +82,9 @@
 		if more, err = peersOf(file, plan.Name, log); err != nil {
 			return noStart(err)
 		}
+		if fronts, err = frontsOf(file); err != nil {
+			return noStart(err)
+		}
 	}
 	plan.Bound()
 	ln, err := net.Listen("tcp", plan.Listen)
@@ -86,7 +92,7 @@
 		return noStart(err)
 	}
 	if err := plan.Serve(ctx, coordinator.Means{Listener: ln, Dial: (&net.Dialer{}).DialContext,
-		Clock: coordinator.SystemClock{}, Log: log, Peers: more,
+		Clock: coordinator.SystemClock{}, Log: log, Peers: more, Fronts: fronts,
 		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, log)}); err != nil {
 		log.Error("failed", "error", err)
 		return exit(1)
@@ -131,6 +137,28 @@
 	return more, err
 }
 
+// frontsOf opens what an installation's other fronts need.
+func frontsOf(file *installation.File) ([]coordinator.Front, error) {
+	o := file.OpenSearch
+	if o == nil {
+		return nil, nil
+	}
+	f := &opensearch.Front{}
+	for _, x := range o.Indices {
+		f.Indices = append(f.Indices, opensearch.Index{Name: x.Name, Type: x.Type, Partner: x.Partner, Blocks: x.Blocks})
+	}
+	var err error
+	if o.TLS != nil {
+		if f.TLS, err = opensearch.TLS(o.TLS.Certificate, o.TLS.Key, o.TLS.Authorities); err != nil {
+			return nil, err
+		}
+	}
+	if f.Listener, err = net.Listen("tcp", o.Listen); err != nil {
+		return nil, err
+	}
+	return []coordinator.Front{f}, nil
+}
+
 func keysOf(t *installation.TLS, complain func(err error)) (*peer.Keys, error) {
 	if t == nil {
 		return nil, nil
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -34,7 +34,7 @@
 		}
 		zone, kind := o.nth("FailureDomains", word(m["zone"])), o.nth("MachineTypes", word(m["kind"]))
 		present[id] = !gone
-		hosts = append(hosts, listedHost{id, addr, int64(since), gone})
+		hosts = append(hosts, listedHost{id, addr, int64(since), int(cell), gone})
 		steps = append(steps, func() {
 			o.place(id, addr, gone)
 			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
@@ -57,6 +57,16 @@
 	}, nil
 }
 
+// tellListed tells a list or changes of it to those that keep what they need of it beside the owner.
+func (o *owner) tellListed(full bool, version int64, hosts []listedHost) {
+	if o.peers != nil {
+		o.peers.listed(full, version, hosts)
+	}
+	if o.door != nil {
+		o.door.listed(full, hosts)
+	}
+}
+
 // nth is the place of a name in a list of the settings; a name that is not there comes after all.
 func (o *owner) nth(list, name string) int {
 	names := o.plan.list(list)
@@ -203,8 +213,6 @@
 	if !o.post(func() { tell(how) }) {
 		return closing
 	}
-	if o.peers != nil {
-		o.peers.listed(full, int64(v), hosts)
-	}
+	o.tellListed(full, int64(v), hosts)
 	return nil
 }
--- /dev/null
+++ b/coordinator/door.go
@@ -0,0 +1,174 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const frontShare = 0.15 // of the descriptors go to other fronts' clients, out of those for clients
+
+// Front is another way in for clients. Serve takes requests until stopping is done, finishes what it has, and
+// returns; it ends at once with ctx. It hands searches in by the door.
+type Front interface {
+	Serve(ctx, stopping context.Context, d *Door) error
+}
+
+// Door hands other fronts' searches to the owner: the same module and the same rules as for the own front.
+type Door struct {
+	Name        string // of the co-ordinator
+	Connections int    // that the front may hold
+	Log         func(kind, event string, v ...any)
+
+	o                *owner
+	classes, tenants map[string]int
+
+	mu    sync.Mutex
+	cells map[string]int // of the hosts that are listed
+	addrs map[string]string
+}
+
+// Asked is one search. Check looks at a host's value for a part before it counts as in, in the goroutine of the
+// connection it came on: one that it refuses is an errored sub-request. What it gives back stands in the result.
+type Asked struct {
+	Name     string // of all that are open, no two may bear one
+	Type     string
+	Tenant   string
+	Text     []byte
+	Shards   []int // in equal weights
+	Retry    bool
+	Patience time.Duration
+	Check    func(shard int, value []byte) (any, error)
+}
+
+// How a search ended.
+const (
+	Answered = answered
+	Shed     = shed
+	Errored  = errored
+	NameOpen = taken
+)
+
+// Given is a final answer.
+type Given struct {
+	Kind    int
+	Whole   bool
+	RetryIn time.Duration // of Shed, 0 where none is named
+	Parts   []GivenPart   // that are in
+}
+
+// GivenPart is a part that is in, with what Check gave for it.
+type GivenPart struct {
+	Shard int
+	Read  any
+}
+
+// ErrAsked is a search that cannot be taken.
+var ErrAsked = errors.New("no such type or partner")
+
+func newDoor(o *owner) *Door {
+	return &Door{Name: o.plan.Name, o: o, classes: o.plan.names("Classes"), tenants: o.plan.names("Tenants"),
+		Connections: max(1, int(frontShare*float64(o.plan.Sockets))), Log: o.log.often, cells: map[string]int{},
+		addrs: map[string]string{}}
+}
+
+// Knows tells whether there is such a type, and such a partner where partners are named at all.
+func (d *Door) Knows(qtype, tenant string) error {
+	if _, ok := d.classes[qtype]; !ok {
+		return fmt.Errorf("%w: type %q", ErrAsked, qtype)
+	}
+	if _, ok := d.tenants[tenant]; !ok && len(d.tenants) > 0 {
+		return fmt.Errorf("%w: partner %q", ErrAsked, tenant)
+	}
+	return nil
+}
+
+// Patience is how long a search of a type may take at the most.
+func (d *Door) Patience(qtype string) time.Duration {
+	if v := d.o.plan.span(fmt.Sprintf("Classes.%d.Deadline", d.classes[qtype])); v > 0 {
+		return min(v, longWait)
+	}
+	return longWait
+}
+
+// Blocks tells how many blocks there are.
+func (d *Door) Blocks() int { return int(d.o.plan.fact("Specifics.Ranges")) }
+
+// Holders names the listed hosts that hold a block, with their addresses.
+func (d *Door) Holders(block int) (names, addrs []string) {
+	sets, reach := int(d.o.plan.fact("Specifics.Sets")), int(d.o.plan.fact("Specifics.Reach"))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, cell := range d.cells {
+		if (cell-block%sets+sets)%sets < reach {
+			names = append(names, id)
+		}
+	}
+	slices.Sort(names)
+	for _, id := range names {
+		addrs = append(addrs, d.addrs[id])
+	}
+	return names, addrs
+}
+
+// Hosts counts the listed hosts.
+func (d *Door) Hosts() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.cells)
+}
+
+// listed takes in a list or changes of it.
+func (d *Door) listed(full bool, hosts []listedHost) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if full {
+		clear(d.cells)
+		clear(d.addrs)
+	}
+	for _, h := range hosts {
+		if delete(d.cells, h.id); !h.gone {
+			d.cells[h.id], d.addrs[h.id] = h.cell, h.addr
+		}
+	}
+}
+
+// Search hands a search in and waits for its final answer. When ctx ends, the search is withdrawn: its client has left.
+func (d *Door) Search(ctx context.Context, a Asked) (Given, error) {
+	if err := d.Knows(a.Type, a.Tenant); err != nil {
+		return Given{}, err
+	}
+	if !plainName(a.Name) || strings.ContainsRune(a.Name, '.') || len(a.Shards) == 0 {
+		return Given{}, fmt.Errorf("a search named %.40q over %d blocks", a.Name, len(a.Shards))
+	}
+	o := d.o
+	out := make(chan Given, 1)
+	s := &search{name: a.Name, text: a.Text, qtype: d.classes[a.Type], tenant: d.tenants[a.Tenant], retry: a.Retry,
+		came: o.Clock.Now(), patience: min(a.Patience, longWait), shards: slices.Clone(a.Shards), check: a.Check}
+	for range a.Shards {
+		s.weights = append(s.weights, 1/float64(len(a.Shards)))
+	}
+	s.reply = func(r result) {
+		g := Given{Kind: r.kind, Whole: r.whole, RetryIn: time.Duration(r.retryIn) * tenth}
+		for _, p := range r.parts {
+			g.Parts = append(g.Parts, GivenPart{Shard: p.shard, Read: p.read})
+		}
+		out <- g
+	}
+	if !o.post(func() { o.take(s) }) {
+		return Given{}, closing
+	}
+	select {
+	case g := <-out:
+		return g, nil
+	case <-ctx.Done():
+		o.post(func() { o.withdraw(s) })
+		return Given{}, ctx.Err()
+	case <-o.ctx.Done():
+		return Given{}, closing
+	}
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,9 +54,13 @@
 	listed   bool
 	clients  map[*link]bool
 	ending   bool // no new client connections come
+	fronts   int  // others that have not finished
 
 	busy  atomic.Int64 // ns spent in turns
 	peers *learner     // nil where peers are not allowed
+	door  *Door        // nil where there is no other front
+
+	checks sync.Map // of open searches that have one, by name; connections' readers use it
 }
 
 // search is one search from its request to its final answer. The front that took it makes it; reply is
@@ -70,6 +75,7 @@
 	shards        []int
 	weights       []float64
 	reply         func(r result)
+	check         func(shard int, value []byte) (any, error) // what a value has to pass to be in; nil for none
 
 	id    uint64
 	due   int64
@@ -104,6 +110,7 @@
 	in     bool
 	score  *big.Int
 	value  []byte
+	read   any // what the search's check made of value
 	subs   []*subRequest
 	untold int // sub-requests whose outcome the module has not heard
 }
@@ -173,9 +180,7 @@
 	version, hosts, tell, err := o.readList(o.plan.known)
 	if err == nil {
 		tell("Persisted")
-		if o.peers != nil {
-			o.peers.listed(true, int64(version), hosts)
-		}
+		o.tellListed(true, int64(version), hosts)
 	}
 	o.module.EndOfBatch()
 	return err
@@ -203,7 +208,7 @@
 			}
 			wake = o.Clock.After(time.Duration(wait) * tenth)
 		}
-		if o.ending && len(o.clients) == 0 && len(o.searches) == 0 {
+		if o.ending && len(o.clients) == 0 && len(o.searches) == 0 && o.fronts == 0 {
 			return errDone
 		}
 		select {
@@ -282,6 +287,9 @@
 		return
 	}
 	o.names[s.name] = true
+	if s.check != nil {
+		o.checks.Store(s.name, s.check)
+	}
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
 	s.id, s.step = o.number(), 1
 	o.searches[s.id] = s
@@ -314,6 +322,7 @@
 	s.over = true
 	delete(o.searches, s.id)
 	delete(o.names, s.name)
+	o.checks.Delete(s.name)
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
 			if sub.call == nil {
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -394,5 +394,6 @@
 type listedHost struct {
 	id, addr string
 	since    int64 // ms
+	cell     int
 	gone     bool
 }
--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -76,7 +76,11 @@
 		case p := <-plans:
 			o.log.Info("reloaded", "discovery", p.Discovery, "sockets", p.Sockets,
 				"waits_for_restart", o.plan.differs(p))
-			f.gate.resize(int(clientShare * float64(p.Sockets)))
+			room := int(clientShare * float64(p.Sockets))
+			if o.door != nil {
+				room -= o.door.Connections
+			}
+			f.gate.resize(room)
 			o.post(func() { o.sockets = p.Sockets })
 			select {
 			case o.moves <- p.Discovery:
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -8,6 +8,7 @@
 	"math/big"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -372,19 +373,43 @@
 			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", err)
 			return garbled
 		}
+		var read any
+		if outcome == "Ok" {
+			if read, err = o.checked(id, value); err != nil {
+				outcome = "Failed"
+				o.log.often("bad_value", "bad_value", "replica", l.r.id, "error", err)
+			}
+		}
 		fits := frame.Fits(src)
 		if !o.post(func() {
 			l.shut = l.shut || !fits // a good answer counts whatever comes behind it
-			o.answer(l, id, outcome, score, report, value)
+			o.answer(l, id, outcome, score, report, value, read)
 		}) {
 			return closing
 		}
 	}
 }
 
+// checked passes a value to the check of its search, where that has one. Guards against a host that answers in good
+// form and leaves out what was asked: its part would count as in.
+func (o *owner) checked(id string, value []byte) (any, error) {
+	id = strings.TrimSuffix(id, ".r")
+	dot := strings.LastIndexByte(id, '.')
+	check, ok := o.checks.Load(id[:max(0, dot)])
+	if !ok {
+		return nil, nil
+	}
+	n, err := strconv.Atoi(id[dot+1:])
+	if err != nil {
+		return nil, err
+	}
+	return check.(func(int, []byte) (any, error))(n, value)
+}
+
 // answer takes a replica's answer; one to a part that is no longer out is dropped. One to a part that never
 // was out on this connection is spoilt, and another waits for its own in vain.
-func (o *owner) answer(l *line, id, outcome string, score *big.Int, report map[string]float64, value []byte) {
+func (o *owner) answer(l *line, id, outcome string, score *big.Int, report map[string]float64,
+	value []byte, read any) {
 	l.heard = o.now
 	sub := find(l.subs, id)
 	if sub == nil {
@@ -398,7 +423,7 @@
 	o.usual += (float64(o.now-sub.sent) - o.usual) / usualCount
 	o.hush(l, sub.sent)
 	if p := sub.p; outcome == "Ok" && !p.over() {
-		p.in, p.score, p.value = true, score, value
+		p.in, p.score, p.value, p.read = true, score, value, read
 	}
 	o.landed(sub, outcome, report)
 }
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -94,7 +94,8 @@
 	Log      *slog.Logger // lines are handed to its handler by one goroutine
 	Plans    <-chan *Plan // that follow the first, as Reloads hands them on; may be nil
 
-	Peers *Peers // what an installation allows beside the plan; may be nil
+	Fronts []Front // other ways in for clients; may be none
+	Peers  *Peers  // what an installation allows beside the plan; may be nil
 
 	look chan<- *owner // for tests that count what is held
 }
@@ -325,6 +326,10 @@
 	if m.Peers != nil {
 		o.peers = newLearner(o, m.Peers)
 	}
+	if len(m.Fronts) > 0 {
+		o.door, o.fronts = newDoor(o), len(m.Fronts)
+		f.gate.resize(int(clientShare*float64(p.Sockets)) - o.door.Connections)
+	}
 	if err := o.begin(); err != nil {
 		m.Listener.Close()
 		return err
@@ -338,6 +343,13 @@
 		o.peers.run()
 	}
 	g.Go(f.accept)
+	for _, front := range m.Fronts {
+		g.Go(func() error {
+			err := front.Serve(work, stopping, o.door)
+			o.post(func() { o.fronts-- })
+			return err
+		})
+	}
 	g.Go(o.follow)
 	g.Go(func() error { return f.reload(m.Plans) })
 	g.Go(func() error { return o.windUp(ctx, stop) })
--- /dev/null
+++ b/front/opensearch/opensearch_test.go
@@ -0,0 +1,416 @@
+package opensearch
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"chalkring/coordinator"
+	"chalkring/standin"
+)
+
+const settings = `{"Family":"fanout","Discovery":"subscribe","Balancers":1,"Tick":5.0,"FailureDomains":["hall"],
+"MachineTypes":["std"],"Classes":[
+{"Name":"quick-picks","Aim":4000.0,"Deadline":6000.0,"Effect":"retryable","LateShare":0.5},
+{"Name":"full-match","Aim":4000.0,"Deadline":6000.0,"Effect":"retryable","LateShare":0.5}],
+"Tenants":[{"Name":"acme","QuotaPerS":100000.0}],
+"Specifics":{"Sets":4,"Reach":1,"Ranges":9,"PerCall":1,"NeedByClass":[0.75,1.0],"ClassFloor":[0.75,1.0],"FollowUp":[0,0]},
+"Permissions":{"MaxAttempts":3,"ConnIdle":60000.0,"DialTimeout":500.0,"StreamsPerConn":32,"SecondCopies":true,
+"Cancelling":true,"RetryAfter":true,"MaxRetryAfter":500.0},
+"Safety":{"Cold":1000.0,"ColdFrom":0.3,"FallMultiple":3.0,"Fall":2000.0,"DrainGrace":250.0,"AskWithin":500.0}}`
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig is a co-ordinator with the front, eight blocks of members on two hosts each.
+type rig struct {
+	t      *testing.T
+	url    string
+	hosts  []*standin.Host
+	blocks []*standin.Members
+	all    standin.Members
+	list   *standin.Discovery
+	stop   context.CancelFunc
+	ended  chan error
+	client *http.Client
+	final  atomic.Int64
+}
+
+func start(t *testing.T) *rig {
+	r := &rig{t: t, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	chance := rand.New(rand.NewSource(7))
+	r.all.Index = "members"
+	for range 8 {
+		r.blocks = append(r.blocks, &standin.Members{Index: "members"})
+	}
+	towns := []string{"oslo", "bergen", "hamar"}
+	for i := range 400 {
+		m := standin.Member{ID: fmt.Sprintf("m%03d", i), Fields: map[string]any{"town": towns[chance.Intn(3)], "age": float64(18 + chance.Intn(50))}}
+		r.all.All = append(r.all.All, m)
+		b := r.blocks[chance.Intn(8)]
+		b.All = append(b.All, m)
+	}
+	var entries []standin.Entry
+	for i := range 8 {
+		h, err := standin.NewHost(fmt.Sprintf("h%d", i), i%4, false, r.good)
+		require.NoError(t, err)
+		t.Cleanup(h.Close)
+		r.hosts = append(r.hosts, h)
+		entries = append(entries, standin.Entry{ID: h.ID, Addr: h.Ln.Addr().String(), Zone: "hall", Kind: "std", State: "up", Cell: h.Cell})
+	}
+	var err error
+	r.list, err = standin.NewDiscovery(entries)
+	require.NoError(t, err)
+	t.Cleanup(r.list.Close)
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return ln
+	}
+	own, other := listen(), listen()
+	plan, err := coordinator.Parse(fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":512},"known":%s,"settings":%s}`, own.Addr(), r.list.Ln.Addr(),
+		r.list.Known(), settings))
+	require.NoError(t, err)
+	eight := []int{0, 1, 2, 3, 4, 5, 6, 7}
+	front := &Front{Listener: other, Indices: []Index{{"members", "full-match", "acme", eight}, {"picks", "quick-picks", "acme", eight}}}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop, r.url = stop, "http://"+other.Addr().String()
+	go func() {
+		r.ended <- plan.Serve(ctx, coordinator.Means{Listener: own, Dial: (&net.Dialer{}).DialContext, Clock: coordinator.SystemClock{},
+			Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Fronts: []coordinator.Front{front}})
+	}()
+	t.Cleanup(func() {
+		stop()
+		r.client.CloseIdleConnections()
+		select {
+		case err := <-r.ended:
+			require.NoError(t, err)
+		case <-time.After(20 * time.Second):
+			t.Error("does not end")
+		}
+	})
+	return r
+}
+
+// answer is what a sound host says to a part; index names are the search's own.
+func (r *rig) answer(p standin.Part) []byte {
+	b := *r.blocks[p.Shard]
+	text, err := b.Search([]byte(p.Text))
+	if err != nil {
+		return []byte("{}")
+	}
+	return text
+}
+
+func (r *rig) good(p standin.Part) { p.Reply("good", "1", string(r.answer(p))) }
+
+func (r *rig) do(method, path, body string, head ...string) (int, map[string]any, http.Header) {
+	req, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	require.NoError(r.t, err)
+	for i := 0; i+1 < len(head); i += 2 {
+		req.Header.Set(head[i], head[i+1])
+	}
+	res, err := r.client.Do(req)
+	require.NoError(r.t, err)
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	require.NoError(r.t, err)
+	r.final.Add(1)
+	if res.Header.Get("Content-Encoding") == "gzip" {
+		z, err := gzip.NewReader(bytes.NewReader(text))
+		require.NoError(r.t, err)
+		text, err = io.ReadAll(z)
+		require.NoError(r.t, err)
+	}
+	var m map[string]any
+	if json.Unmarshal(text, &m) != nil {
+		m = map[string]any{"text": string(text)}
+	}
+	return res.StatusCode, m, res.Header
+}
+
+func ids(m map[string]any) (out []string) {
+	for _, h := range m["hits"].(map[string]any)["hits"].([]any) {
+		out = append(out, h.(map[string]any)["_id"].(string))
+	}
+	return out
+}
+
+func reason(m map[string]any) string { return fmt.Sprint(m["error"].(map[string]any)["reason"]) }
+
+// Whole answers are what one block with all members says, also with a host that hangs and one that spoils its answers.
+func TestSearches(t *testing.T) {
+	r := start(t)
+	r.hosts[0].Set(func(standin.Part) {})
+	r.hosts[5].Set(func(p standin.Part) { p.Reply("good", "1", `{"timed_out":false}`) })
+	var g sync.WaitGroup
+	for i := range 40 {
+		g.Go(func() {
+			body := fmt.Sprintf(`{"query":{"range":{"age":{"gte":%d}}},"size":15,"sort":[{"age":"desc"},"town"],"track_total_hits":true}`, 20+i)
+			status, m, _ := r.do("POST", "/members/_search", body)
+			require.Equal(t, 200, status, "%v", m)
+			text, _ := r.all.Search([]byte(strings.Replace(body, `[{"age":"desc"},"town"]`,
+				`[{"age":{"order":"desc"}},{"town":{}},{"_id":{}}]`, 1)))
+			var want map[string]any
+			require.NoError(t, json.Unmarshal([]byte(text), &want))
+			require.Equal(t, want["hits"].(map[string]any)["total"], m["hits"].(map[string]any)["total"])
+			require.Equal(t, ids(want), ids(m))
+			shards := m["_shards"].(map[string]any)
+			require.Equal(t, []any{8.0, 8.0, 0.0}, []any{shards["total"], shards["successful"], shards["failed"]})
+		})
+	}
+	g.Wait()
+	require.Equal(t, int64(40), r.final.Load())
+	status, m, _ := r.do("GET", "/members/_count", `{"query":{"term":{"town":"oslo"}}}`)
+	require.Equal(t, 200, status)
+	n := 0.0
+	for _, one := range r.all.All {
+		if one.Fields["town"] == "oslo" {
+			n++
+		}
+	}
+	require.Equal(t, n, m["count"])
+}
+
+// quick-picks is whole at six of eight blocks and says so; full-match never is, and what is given up says that too.
+func TestPartsThatLack(t *testing.T) {
+	r := start(t)
+	for _, i := range []int{0, 4} { // both holders of two blocks
+		r.hosts[i].Set(func(standin.Part) {})
+	}
+	status, m, _ := r.do("POST", "/picks/_search", `{"track_total_hits":true}`)
+	require.Equal(t, 404, func() int { s, _, _ := r.do("POST", "/nowhere/_search", `{}`); return s }())
+	require.Contains(t, []int{429, 503}, status, "a host's index has another name: %v", m)
+	for _, b := range r.blocks {
+		b.Index = "picks"
+	}
+	status, m, _ = r.do("POST", "/picks/_search?allow_partial_search_results=false", `{"track_total_hits":true}`)
+	require.Equal(t, 200, status, "%v", m)
+	shards := m["_shards"].(map[string]any)
+	require.Equal(t, []any{8.0, 6.0, 2.0}, []any{shards["total"], shards["successful"], shards["failed"]})
+	require.Contains(t, fmt.Sprint(shards["failures"]), "called off")
+	require.Equal(t, "gte", m["hits"].(map[string]any)["total"].(map[string]any)["relation"])
+	for _, b := range r.blocks {
+		b.Index = "members"
+	}
+	began := time.Now()
+	status, m, head := r.do("POST", "/members/_search?timeout=700ms", `{}`, "X-Opaque-Id", "mine")
+	require.Contains(t, []int{503, 504, 429}, status, "%v", m)
+	require.Equal(t, "mine", head.Get("X-Opaque-Id"))
+	require.Less(t, time.Since(began), 3*time.Second)
+}
+
+// A block that no listed host holds is told before anything is sent.
+func TestUnknownBlocks(t *testing.T) {
+	r := start(t)
+	var left []standin.Entry
+	for i, h := range r.hosts {
+		if i%4 != 3 {
+			left = append(left, standin.Entry{ID: h.ID, Addr: h.Ln.Addr().String(), Zone: "hall", Kind: "std", State: "up", Cell: h.Cell})
+		}
+	}
+	r.list.Tell(left)
+	require.Eventually(t, func() bool { s, _, _ := r.do("POST", "/members/_search", `{}`); return s == 404 }, 10*time.Second, 5*time.Millisecond)
+	before := 0
+	for _, h := range r.hosts {
+		before += h.Took()
+	}
+	status, m, _ := r.do("POST", "/members/_search", `{}`)
+	require.Equal(t, 404, status)
+	require.Contains(t, reason(m), "no such shard [members][3]")
+	after := 0
+	for _, h := range r.hosts {
+		after += h.Took()
+	}
+	require.Equal(t, before, after)
+	status, _, _ = r.do("POST", "/members/_search?preference=_shards:0,1", `{}`)
+	require.Equal(t, 200, status)
+	_, m, _ = r.do("GET", "/_cluster/health", "")
+	require.Equal(t, "red", m["status"])
+	_, m, _ = r.do("GET", "/_cat/shards?v", "")
+	require.Contains(t, m["text"], "members 3 p UNASSIGNED")
+}
+
+func TestMultiSearch(t *testing.T) {
+	r := start(t)
+	var lines []string
+	for i := range 50 {
+		switch {
+		case i == 7:
+			lines = append(lines, `{"index":"members"}`, `{"query":{"nonsense":{}}}`)
+		case i == 9:
+			lines = append(lines, `{not json`, `{}`)
+		case i == 11:
+			lines = append(lines, `{"index":"nowhere"}`, `{}`)
+		default:
+			lines = append(lines, `{"index":"members"}`, fmt.Sprintf(`{"query":{"ids":{"values":["m%03d"]}}}`, i))
+		}
+	}
+	text := strings.Join(lines, "\n") // without its last line end
+	status, m, _ := r.do("POST", "/_msearch", text)
+	require.Equal(t, 200, status)
+	for i, one := range m["responses"].([]any) {
+		got := one.(map[string]any)
+		switch i {
+		case 7, 9:
+			require.Equal(t, 400.0, got["status"])
+		case 11:
+			require.Equal(t, 404.0, got["status"])
+		default:
+			require.Equal(t, 200.0, got["status"], "%v", got)
+			require.Equal(t, []string{fmt.Sprintf("m%03d", i)}, ids(got))
+		}
+	}
+	status, _, _ = r.do("POST", "/_msearch", strings.Repeat("{}\n{}\n", 101))
+	require.Equal(t, 400, status)
+	status, _, _ = r.do("POST", "/_msearch", "{}\n")
+	require.Equal(t, 400, status)
+
+	// A client that leaves in the middle of fifty takes all of them along.
+	for _, h := range r.hosts {
+		h.Set(func(standin.Part) {})
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", r.url+"/_msearch", strings.NewReader(text))
+	left := make(chan error)
+	go func() {
+		res, err := r.client.Do(req)
+		if err == nil {
+			res.Body.Close()
+		}
+		left <- err
+	}()
+	open := func() int {
+		_, m, _ := r.do("GET", "/_tasks", "")
+		return len(m["nodes"].(map[string]any)["n0"].(map[string]any)["tasks"].(map[string]any))
+	}
+	require.Eventually(t, func() bool { return open() == 8 }, 10*time.Second, 5*time.Millisecond)
+	leave()
+	require.Error(t, <-left)
+	require.Eventually(t, func() bool { return open() == 0 }, 10*time.Second, 5*time.Millisecond)
+}
+
+func TestTasks(t *testing.T) {
+	r := start(t)
+	for _, h := range r.hosts {
+		h.Set(func(standin.Part) {})
+	}
+	type end struct {
+		status int
+		m      map[string]any
+	}
+	ended := make(chan end, 2)
+	for range 2 { // two with one X-Opaque-Id
+		go func() {
+			s, m, _ := r.do("POST", "/members/_search", `{}`, "X-Opaque-Id", "same")
+			ended <- end{s, m}
+		}()
+	}
+	var names []string
+	require.Eventually(t, func() bool {
+		_, m, _ := r.do("GET", "/_tasks", "")
+		names = nil
+		for name, one := range m["nodes"].(map[string]any)["n0"].(map[string]any)["tasks"].(map[string]any) {
+			require.Contains(t, fmt.Sprint(one), "same")
+			names = append(names, name)
+		}
+		return len(names) == 2
+	}, 10*time.Second, 5*time.Millisecond)
+	for _, name := range names {
+		status, _, _ := r.do("POST", "/_tasks/"+name+"/_cancel", "")
+		require.Equal(t, 200, status)
+		e := <-ended
+		require.Equal(t, 400, e.status)
+		require.Contains(t, reason(e.m), "cancelled")
+	}
+	status, _, _ := r.do("POST", "/_tasks/n0:999/_cancel", "")
+	require.Equal(t, 404, status)
+}
+
+func TestEdges(t *testing.T) {
+	r := start(t)
+	pack := func(text string) string {
+		var b bytes.Buffer
+		z := gzip.NewWriter(&b)
+		z.Write([]byte(text))
+		z.Close()
+		return b.String()
+	}
+	status, m, head := r.do("POST", "/members/_search", pack(`{"size":200}`), "Content-Encoding", "gzip", "Accept-Encoding", "gzip")
+	require.Equal(t, 200, status, "%v", m)
+	require.Equal(t, "gzip", head.Get("Content-Encoding"))
+	require.Len(t, ids(m), 200)
+	status, _, _ = r.do("POST", "/members/_search", pack(strings.Repeat(" ", 50<<20)), "Content-Encoding", "gzip")
+	require.Equal(t, 413, status, "a small body that grows without end")
+	for path, want := range map[string]string{
+		"/members/_search?bogus=1":                      "unrecognized parameter: [bogus]",
+		"/members/_search?q=a":                          "parameter [q] is known to the API and not done here",
+		"/members/_search?preference=_local":            "not done here",
+		"/members/_search?preference=_shards:9":         "no such shard [members][9]",
+		"/members/_search?routing=x":                    "is no number of a block",
+		"/members/_search?size=99999":                   "is no whole number from 0",
+		"/_search":                                      "name one",
+		"/members,picks/_search":                        "not done here",
+		"/nothing/here":                                 "no handler found",
+		"/members/_search?timeout=-1":                   "is no time",
+		"/members/_search?cancel_after_time_interval=x": "is no time",
+	} {
+		status, m, _ := r.do("POST", path, `{}`)
+		require.Contains(t, []int{400, 404}, status, path)
+		require.Contains(t, reason(m), want, path)
+	}
+	status, m, _ = r.do("DELETE", "/members/_search", "")
+	require.Equal(t, 405, status)
+	status, m, _ = r.do("POST", "/members/_search", "{\n\"sizes\":1}")
+	require.Equal(t, 400, status)
+	require.Equal(t, []any{2.0, 1.0}, []any{m["error"].(map[string]any)["line"], m["error"].(map[string]any)["col"]})
+	status, m, _ = r.do("POST", "/members/_search", `{"size":0,"aggs":{"t":{"terms":{"field":"town"}}}}`)
+	require.Equal(t, 200, status)
+	require.Empty(t, ids(m))
+	require.Len(t, m["aggregations"].(map[string]any)["t"].(map[string]any)["buckets"], 3)
+	_, m, _ = r.do("POST", "/members/_validate/query?explain=true", `{"query":{"wildcard":{}}}`)
+	require.Equal(t, false, m["valid"])
+	_, m, _ = r.do("GET", "/", "")
+	require.Equal(t, "n0", m["name"])
+	_, m, _ = r.do("GET", "/_cluster/health", "")
+	require.Equal(t, "green", m["status"])
+	_, m, _ = r.do("GET", "/_cat/indices", "")
+	require.Contains(t, m["text"], "members open 8 full-match")
+}
+
+// A search that is held while the stop comes has its answer; after it nothing is taken.
+func TestStop(t *testing.T) {
+	r := start(t)
+	release := make(chan struct{})
+	for _, h := range r.hosts {
+		h.Set(func(p standin.Part) { go func() { <-release; r.good(p) }() })
+	}
+	got := make(chan int)
+	go func() { s, _, _ := r.do("POST", "/members/_search", `{}`); got <- s }()
+	require.Eventually(t, func() bool { return r.hosts[0].Took()+r.hosts[4].Took() > 0 }, 10*time.Second, time.Millisecond)
+	r.stop()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	}, 10*time.Second, 10*time.Millisecond)
+	close(release)
+	require.Equal(t, 200, <-got)
+}
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,7 @@
 	refreshLow  = time.Second    // shortest: a peer answers a name once a second
 	rateLow     = 1024           // bytes a second under which no report comes through in time
 	cpuMost     = 1.0            // seconds a second: one core is what a co-ordinator has
+	indicesMost = 64             // indices of a front
 	jobsMost    = 64             // jobs of a kind at once
 	defaultRate = 4 << 20        // bytes a second for peers: a report of 10,000 hosts in a quarter of a second
 	defaultCPU  = 0.2            // seconds a second: searches keep the rest
@@ -36,6 +38,7 @@
 // File is what an installation turns on.
 type File struct {
 	Peers      *Peers          `yaml:"peers"`
+	OpenSearch *OpenSearch     `yaml:"opensearch"`
 	Background map[string]Work `yaml:"background"`
 	Log        Log             `yaml:"log"`
 }
@@ -52,6 +55,21 @@
 	TLS     *TLS          `yaml:"tls"`     // without it all is plain text and names are believed
 }
 
+// OpenSearch is the front that speaks the OpenSearch-style API.
+type OpenSearch struct {
+	Listen  string  `yaml:"listen"`
+	TLS     *TLS    `yaml:"tls"` // certificate and key; with authorities, clients need a certificate of theirs
+	Indices []Index `yaml:"indices"`
+}
+
+// Index is one index: what its searches are to the co-ordinator.
+type Index struct {
+	Name    string `yaml:"name"`
+	Type    string `yaml:"type"`    // of query, as the plan's settings name it
+	Partner string `yaml:"partner"` // likewise; left out where the plan names none
+	Blocks  []int  `yaml:"blocks"`  // member blocks
+}
+
 // Peer is one to ask.
 type Peer struct {
 	Name    string `yaml:"name"`
@@ -117,6 +135,7 @@
 	}
 	c := &checker{tree: tree}
 	c.peers(f, dir)
+	c.openSearch(f, dir)
 	c.background(f)
 	c.log(f)
 	return f, errors.Join(c.faults...)
@@ -203,14 +222,52 @@
 	if p.Refresh != 0 && (p.Refresh < refreshLow || p.Refresh > refreshMost) {
 		c.fault("$.peers.refresh", "%v is not from %v to %v", p.Refresh, refreshLow, refreshMost)
 	}
-	if p.TLS != nil {
-		for name, file := range map[string]*string{"certificate": &p.TLS.Certificate, "key": &p.TLS.Key,
-			"authorities": &p.TLS.Authorities} {
-			if *file == "" {
-				c.fault("$.peers.tls."+name, "is missing")
-			} else if !filepath.IsAbs(*file) {
-				*file = filepath.Join(dir, *file)
-			}
+	c.tls("$.peers.tls.", p.TLS, dir, "certificate", "key", "authorities")
+}
+
+// tls makes the names of files whole; those that are needed have to be there.
+func (c *checker) tls(at string, t *TLS, dir string, needed ...string) {
+	if t == nil {
+		return
+	}
+	for name, file := range map[string]*string{"certificate": &t.Certificate, "key": &t.Key, "authorities": &t.Authorities} {
+		if *file == "" && slices.Contains(needed, name) {
+			c.fault(at+name, "is missing")
+		} else if *file != "" && !filepath.IsAbs(*file) {
+			*file = filepath.Join(dir, *file)
+		}
+	}
+}
+
+func (c *checker) openSearch(f *File, dir string) {
+	o := f.OpenSearch
+	if o == nil {
+		return
+	}
+	c.address("$.opensearch.listen", o.Listen)
+	c.tls("$.opensearch.tls.", o.TLS, dir, "certificate", "key")
+	if len(o.Indices) == 0 || len(o.Indices) > indicesMost {
+		c.fault("$.opensearch.indices", "%d indices, 1 to %d are wanted", len(o.Indices), indicesMost)
+	}
+	seen := map[string]bool{}
+	for i, x := range o.Indices {
+		at := fmt.Sprintf("$.opensearch.indices[%d]", i)
+		c.name(at+".name", x.Name)
+		if strings.HasPrefix(x.Name, "_") || strings.ContainsAny(x.Name, ",*/?#") || x.Name != strings.ToLower(x.Name) {
+			c.fault(at+".name", "%q: small letters, no leading _, none of , * / ? #", x.Name)
+		}
+		if seen[x.Name] {
+			c.fault(at+".name", "%q is there twice", x.Name)
+		}
+		seen[x.Name] = true
+		c.name(at+".type", x.Type)
+		if len(x.Blocks) == 0 {
+			c.fault(at+".blocks", "names no block")
+		}
+		sorted := slices.Clone(x.Blocks)
+		slices.Sort(sorted)
+		if len(slices.Compact(sorted)) < len(x.Blocks) || len(sorted) > 0 && sorted[0] < 0 {
+			c.fault(at+".blocks", "a block is there twice or under 0")
 		}
 	}
 }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -89,7 +89,7 @@
 		h.Close()
 	}
 	if f.list != nil {
-		f.list.Ln.Close()
+		f.list.Close()
 	}
 }
 
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -115,6 +115,13 @@
 	version int
 	entries []Entry
 	changed chan struct{}
+	done    chan struct{}
+}
+
+// Close ends it with all that waits for a change.
+func (d *Discovery) Close() {
+	d.Ln.Close()
+	close(d.done)
 }
 
 func NewDiscovery(entries []Entry) (*Discovery, error) {
@@ -122,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{Ln: ln, version: 1, entries: entries, changed: make(chan struct{})}
+	d := &Discovery{Ln: ln, version: 1, entries: entries, changed: make(chan struct{}), done: make(chan struct{})}
 	go each(ln, func(conn net.Conn) { requests(conn, d.reply) })
 	return d, nil
 }
@@ -161,6 +168,8 @@
 		}
 		select {
 		case <-changed:
+		case <-d.done:
+			return ""
 		case <-until:
 			return fmt.Sprintf(`{"version":%d,"full":false,"servers":[]}`, version)
 		}
