Hosts may speak the OpenSearch-style API: what a kind of host speaks is one interface

Need: profile hosts of other installations speak that API. Change: coordinator/tongues.go holds frames and openSearch behind one interface; the owner is not touched by the kind. One table from what comes back to the module's outcomes; a part that is given up ends its connection.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -33,10 +33,11 @@
 			return 0, nil, nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
 		}
 		zone, kind := o.nth("FailureDomains", word(m["zone"])), o.nth("MachineTypes", word(m["kind"]))
+		hostKind := word(m["kind"])
 		present[id] = !gone
 		hosts = append(hosts, listedHost{id, addr, int64(since), int(cell), gone})
 		steps = append(steps, func() {
-			o.place(id, addr, gone)
+			o.place(id, addr, hostKind, gone)
 			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
 		})
 	}
@@ -47,7 +48,7 @@
 		if how != "Partial" {
 			for id := range o.fleet {
 				if !present[id] {
-					o.place(id, "", true)
+					o.place(id, "", "", true)
 				}
 			}
 		}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -1,24 +1,18 @@
 package coordinator
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"math/big"
-	"net"
 	"slices"
 	"strconv"
 	"strings"
-	"time"
-	"unicode/utf8"
-
-	"chalkring/internal/frame"
 )
 
 // replica is one machine of the list and the connections to it.
 type replica struct {
 	id, addr string
+	speaks   tongue
 	gone     bool
 	lines    []*line
 	calls    []*call // of this turn, not yet on a line
@@ -88,7 +82,7 @@
 		return
 	}
 	var c *call
-	if n := len(r.calls); n > 0 && len(r.calls[n-1].subs) < o.perCall &&
+	if n := len(r.calls); n > 0 && len(r.calls[n-1].subs) < r.speaks.perCall(o) &&
 		find(r.calls[n-1].subs, sub.name) == nil {
 		c = r.calls[n-1]
 	} else {
@@ -117,9 +111,7 @@
 	l := sub.call.line
 	if !o.takeBack(sub) {
 		o.leave(sub)
-		b := lend()
-		*b = frame.AppendCancel(*b, sub.name)
-		l.put(&parcel{b: b})
+		l.r.speaks.cancel(l, sub)
 	}
 	// Guards against a machine that went silent: its open connection would swallow part after part. One new
 	// connection tells more than the old one: it comes up or does not.
@@ -216,20 +208,7 @@
 		return
 	}
 	b := lend()
-	*b = frame.Begin(*b, frame.Call)
-	for _, sub := range c.subs {
-		list := fmt.Sprintf("d=%d", max(1, (sub.due-o.now)/10))
-		if s := sub.p.s; sub.p.step == 2 {
-			from := strings.Trim(strings.ReplaceAll(fmt.Sprint(s.from), " ", "+"), "[]")
-			whole := 0
-			if s.whole {
-				whole = 1
-			}
-			list = fmt.Sprintf("%s,from=%s,whole=%d", list, from, whole)
-		}
-		*b = frame.AppendPart(*b, sub.name, sub.p.shard, list, sub.p.s.text)
-	}
-	*b = frame.End(*b, 0)
+	*b = c.line.r.speaks.call(o, *b, c)
 	c.parcel = &parcel{b: b}
 	c.line.usedAt = o.now
 	c.line.put(c.parcel)
@@ -251,7 +230,7 @@
 		if doubt {
 			doubted++
 		}
-		if !doubt && l.calls < o.streams {
+		if !doubt && l.calls < r.speaks.streams(o) {
 			return l
 		}
 		if fullest == nil || l.calls < fullest.calls {
@@ -261,6 +240,9 @@
 	if float64(o.lines) < replicaShare*float64(o.sockets) {
 		return o.dial(r)
 	}
+	if !r.speaks.waits() {
+		fullest = nil
+	}
 	o.log.often("no_descriptor", "no_descriptor", "side", "replicas", "open", o.lines)
 	var spare *line
 	for _, other := range o.fleet {
@@ -323,7 +305,7 @@
 			end = starved
 		}
 		if err == nil {
-			end = l.serve(conn, wait, func(context.Context) error { return o.hear(l, conn) },
+			end = l.serve(conn, wait, func(context.Context) error { return r.speaks.hear(o, l, conn) },
 				func(*parcel) error { return nil })
 		}
 		o.post(func() { o.ended(l, end, addr) })
@@ -333,63 +315,6 @@
 	return l
 }
 
-var outcomes = map[string]string{"good": "Ok", "bad": "Failed", "later": "QueueFull"}
-
-// hear reads a replica's frames to the end of the connection. Once one has begun, its rest has to follow.
-// Guards against a length that says more than comes.
-func (o *owner) hear(l *line, conn net.Conn) error {
-	src := readers.Get().(*bufio.Reader)
-	src.Reset(conn)
-	defer readers.Put(src)
-	for {
-		conn.SetReadDeadline(time.Time{})
-		if _, err := src.Peek(1); err != nil {
-			return endingOf(err)
-		}
-		conn.SetReadDeadline(time.Now().Add(frameTime))
-		letter, rest, err := frame.Read(src)
-		if err != nil && !errors.Is(err, frame.ErrBad) {
-			return endingOf(err)
-		}
-		if letter == frame.Refuse && err == nil {
-			o.log.often("frame_refused", "frame_refused", "replica", l.r.id, "words", string(rest[:min(len(rest), wordsMost)]))
-			return complained
-		}
-		if letter != frame.Answer && err == nil {
-			err = fmt.Errorf("%w: letter %q", frame.ErrBad, letter)
-		}
-		var id, end string
-		var score *big.Int
-		var report map[string]float64
-		var value []byte
-		if err == nil {
-			id, end, score, report, value, err = frame.ReadAnswer(rest)
-		}
-		outcome := outcomes[end]
-		if err == nil && (outcome == "" || outcome == "Ok" && (score == nil || !utf8.Valid(value))) {
-			err = fmt.Errorf("%w: end %.20q, score %v, value %.40q", frame.ErrBad, end, score, value)
-		}
-		if err != nil {
-			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", err)
-			return garbled
-		}
-		var read any
-		if outcome == "Ok" {
-			if read, err = o.checked(id, value); err != nil {
-				outcome = "Failed"
-				o.log.often("bad_value", "bad_value", "replica", l.r.id, "error", err)
-			}
-		}
-		fits := frame.Fits(src)
-		if !o.post(func() {
-			l.shut = l.shut || !fits // a good answer counts whatever comes behind it
-			o.answer(l, id, outcome, score, report, value, read)
-		}) {
-			return closing
-		}
-	}
-}
-
 // checked passes a value to the check of its search, where that has one. Guards against a host that answers in good
 // form and leaves out what was asked: its part would count as in.
 func (o *owner) checked(id string, value []byte) (any, error) {
@@ -507,20 +432,24 @@
 }
 
 // place notes where a replica is; old connections to another address take nothing new.
-func (o *owner) place(id, addr string, gone bool) {
+func (o *owner) place(id, addr, kind string, gone bool) {
 	r := o.fleet[id]
 	if r == nil {
 		if gone {
 			return
 		}
-		r = &replica{id: id}
+		r = &replica{id: id, speaks: frames{}}
 		o.fleet[id] = r
 	}
-	if gone || r.addr != addr {
+	speaks := o.tongueOf(kind)
+	if gone || r.addr != addr || r.speaks != speaks {
 		for _, l := range slices.Clone(r.lines) {
 			o.retire(l)
 		}
 	}
 	r.addr, r.gone = addr, gone
+	if !gone {
+		r.speaks = speaks
+	}
 	o.forget(r)
 }
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -94,8 +94,9 @@
 	Log      *slog.Logger // lines are handed to its handler by one goroutine
 	Plans    <-chan *Plan // that follow the first, as Reloads hands them on; may be nil
 
-	Fronts []Front // other ways in for clients; may be none
-	Peers  *Peers  // what an installation allows beside the plan; may be nil
+	Hosts  map[string]HostKind // kinds of host that speak the OpenSearch-style API; may be nil
+	Fronts []Front             // other ways in for clients; may be none
+	Peers  *Peers              // what an installation allows beside the plan; may be nil
 
 	look chan<- *owner // for tests that count what is held
 }
--- /dev/null
+++ b/coordinator/tongues.go
@@ -0,0 +1,242 @@
+package coordinator
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"chalkring/internal/frame"
+	"chalkring/query"
+)
+
+const (
+	hostBodyMost = 1 << 20         // bytes of an OpenSearch host's answer: hits of a deep page
+	hostBodyTime = 2 * time.Second // from an answer's first byte to its last: a megabyte on a slow way
+)
+
+// tongue is what a kind of host speaks. It is the one place that differs from kind to kind: which replica gets a part,
+// when it is given up and what its end means are the same for all.
+type tongue interface {
+	perCall(o *owner) int // parts that travel together
+	streams(o *owner) int // calls on one connection at once
+	waits() bool          // a call beyond that may wait on a connection
+	call(o *owner, dst []byte, c *call) []byte
+	cancel(l *line, sub *subRequest) // what is written already
+	hear(o *owner, l *line, conn net.Conn) error
+}
+
+// HostKind is a kind of host, by the list's kind, that speaks the OpenSearch-style API; its members are in Index.
+type HostKind struct{ Index string }
+
+func (o *owner) tongueOf(kind string) tongue {
+	if k, ok := o.Hosts[kind]; ok {
+		return openSearch{index: k.Index}
+	}
+	return frames{}
+}
+
+// frames is the platform's protocol.
+type frames struct{}
+
+func (frames) perCall(o *owner) int { return o.perCall }
+func (frames) streams(o *owner) int { return o.streams }
+func (frames) waits() bool          { return true }
+
+func (frames) call(o *owner, dst []byte, c *call) []byte {
+	dst = frame.Begin(dst, frame.Call)
+	for _, sub := range c.subs {
+		list := fmt.Sprintf("d=%d", max(1, (sub.due-o.now)/10))
+		if s := sub.p.s; sub.p.step == 2 {
+			from := strings.Trim(strings.ReplaceAll(fmt.Sprint(s.from), " ", "+"), "[]")
+			whole := 0
+			if s.whole {
+				whole = 1
+			}
+			list = fmt.Sprintf("%s,from=%s,whole=%d", list, from, whole)
+		}
+		dst = frame.AppendPart(dst, sub.name, sub.p.shard, list, sub.p.s.text)
+	}
+	return frame.End(dst, 0)
+}
+
+func (frames) cancel(l *line, sub *subRequest) {
+	b := lend()
+	*b = frame.AppendCancel(*b, sub.name)
+	l.put(&parcel{b: b})
+}
+
+var outcomes = map[string]string{"good": "Ok", "bad": "Failed", "later": "QueueFull"}
+
+// hear reads a replica's frames to the end of the connection. Once one has begun, its rest has to follow.
+// Guards against a length that says more than comes.
+func (frames) hear(o *owner, l *line, conn net.Conn) error {
+	src := readers.Get().(*bufio.Reader)
+	src.Reset(conn)
+	defer readers.Put(src)
+	for {
+		conn.SetReadDeadline(time.Time{})
+		if _, err := src.Peek(1); err != nil {
+			return endingOf(err)
+		}
+		conn.SetReadDeadline(time.Now().Add(frameTime))
+		letter, rest, err := frame.Read(src)
+		if err != nil && !errors.Is(err, frame.ErrBad) {
+			return endingOf(err)
+		}
+		if letter == frame.Refuse && err == nil {
+			o.log.often("frame_refused", "frame_refused", "replica", l.r.id, "words", string(rest[:min(len(rest), wordsMost)]))
+			return complained
+		}
+		if letter != frame.Answer && err == nil {
+			err = fmt.Errorf("%w: letter %q", frame.ErrBad, letter)
+		}
+		var id, end string
+		var score *big.Int
+		var report map[string]float64
+		var value []byte
+		if err == nil {
+			id, end, score, report, value, err = frame.ReadAnswer(rest)
+		}
+		outcome := outcomes[end]
+		if err == nil && (outcome == "" || outcome == "Ok" && (score == nil || !utf8.Valid(value))) {
+			err = fmt.Errorf("%w: end %.20q, score %v, value %.40q", frame.ErrBad, end, score, value)
+		}
+		if err != nil {
+			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", err)
+			return garbled
+		}
+		var read any
+		if outcome == "Ok" {
+			if read, err = o.checked(id, value); err != nil {
+				outcome = "Failed"
+				o.log.often("bad_value", "bad_value", "replica", l.r.id, "error", err)
+			}
+		}
+		fits := frame.Fits(src)
+		if !o.post(func() {
+			l.shut = l.shut || !fits // a good answer counts whatever comes behind it
+			o.answer(l, id, outcome, score, report, value, read)
+		}) {
+			return closing
+		}
+	}
+}
+
+// openSearch is the OpenSearch-style API: one part a request, one request a connection at a time. A part that is given
+// up ends its connection, which cancels it at the host; what the host still answers is not read.
+type openSearch struct{ index string }
+
+func (openSearch) perCall(*owner) int { return 1 }
+func (openSearch) streams(*owner) int { return 1 }
+func (openSearch) waits() bool        { return false }
+
+func (k openSearch) call(o *owner, dst []byte, c *call) []byte {
+	sub := c.subs[0]
+	left := max(1, (sub.due-o.now)/10)
+	dst = fmt.Appendf(dst, "POST /%s/_search?preference=_shards:%d&cancel_after_time_interval=%dms&allow_partial_search_results=false"+
+		" HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nX-Opaque-Id: %s\r\nContent-Length: %d\r\n\r\n",
+		url.PathEscape(k.index), sub.p.shard, left, c.line.r.addr, sub.name, len(sub.p.s.text))
+	return append(dst, sub.p.s.text...)
+}
+
+func (openSearch) cancel(l *line, _ *subRequest) { l.cut(retired) }
+
+// outcomeOf is the one table from what an OpenSearch host answers to the module's outcomes; close tells that the
+// connection cannot be used on. 429 and 503 have not run; whatever else is no good answer may have.
+func outcomeOf(status int, body []byte, shard int, index string) (outcome string, err error) {
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return "QueueFull", nil
+	case status != http.StatusOK:
+		return "Failed", fmt.Errorf("status %d", status)
+	}
+	if err := query.CheckAnswer(index, body); err != nil {
+		return "Failed", err
+	}
+	return "Ok", nil
+}
+
+// hear reads a host's answers, each to the one part that is out on its connection. What comes where none is out, or
+// cannot be read, is spoilt, and the connection ends.
+func (k openSearch) hear(o *owner, l *line, conn net.Conn) error {
+	src := readers.Get().(*bufio.Reader)
+	src.Reset(conn)
+	defer readers.Put(src)
+	for {
+		conn.SetReadDeadline(time.Time{})
+		if _, err := src.Peek(1); err != nil {
+			return endingOf(err)
+		}
+		conn.SetReadDeadline(time.Now().Add(hostBodyTime))
+		res, err := http.ReadResponse(src, nil)
+		if err != nil {
+			return k.spoilt(o, l, err)
+		}
+		var b bytes.Buffer
+		n, err := io.Copy(&b, io.LimitReader(res.Body, hostBodyMost+1))
+		res.Body.Close()
+		if err != nil || n > hostBodyMost {
+			return k.spoilt(o, l, fmt.Errorf("%d bytes: %w", n, errors.Join(err, frame.ErrBad)))
+		}
+		name := make(chan string, 1)
+		if !o.post(func() {
+			if len(l.subs) == 1 {
+				name <- l.subs[0].name
+			}
+			close(name)
+		}) {
+			return closing
+		}
+		id, open := <-name
+		if !open {
+			return k.spoilt(o, l, errors.New("an answer to nothing"))
+		}
+		shard, _ := strconv.Atoi(strings.TrimSuffix(id, ".r")[strings.LastIndexByte(strings.TrimSuffix(id, ".r"), '.')+1:])
+		body := b.Bytes()
+		outcome, why := outcomeOf(res.StatusCode, body, shard, k.index)
+		if outcome == "Ok" && !utf8.Valid(body) {
+			outcome, why = "Failed", errors.New("no text")
+		}
+		var read any
+		if outcome == "Ok" {
+			if read, why = o.checked(id, body); why != nil {
+				outcome = "Failed"
+			}
+		}
+		if why != nil {
+			o.log.often("bad_value", "bad_value", "replica", l.r.id, "error", why)
+		}
+		last := res.Close
+		if !o.post(func() {
+			l.shut = l.shut || last
+			o.answer(l, id, outcome, new(big.Int), nil, body, read)
+			if last {
+				o.mayClose(l)
+			}
+		}) {
+			return closing
+		}
+	}
+}
+
+func (openSearch) spoilt(o *owner, l *line, err error) error {
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return slow
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return endingOf(err)
+	}
+	o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", err)
+	return garbled
+}
--- a/front/opensearch/search.go
+++ b/front/opensearch/search.go
@@ -189,7 +189,7 @@
 	}
 	given, err := f.d.Search(ctx, coordinator.Asked{Name: fmt.Sprintf("os-%s-%d-%d", f.d.Name, f.start.UnixNano(), t.id),
 		Type: a.index.Type, Tenant: a.index.Partner, Text: a.q.Part(), Shards: a.blocks, Patience: patience, Retry: a.retry,
-		Check: func(shard int, value []byte) (any, error) { return a.q.ReadAnswer(shard, a.index.Name, value) }})
+		Check: a.check})
 	switch {
 	case errors.Is(context.Cause(ctx), errCancelled):
 		return fault(400, "task_cancelled_exception", "%v", errCancelled)
@@ -212,6 +212,19 @@
 	return a.answer(given, time.Since(t.began))
 }
 
+// check looks at a host's value for a part. What its host calls the index is the hosts' side's to look at; towards the
+// client a hit is of the index that was asked.
+func (a *asked) check(shard int, value []byte) (any, error) {
+	read, err := a.q.ReadAnswer(shard, "", value)
+	if err != nil {
+		return nil, err
+	}
+	for i := range read.Hits {
+		read.Hits[i].Index = a.index.Name
+	}
+	return read, nil
+}
+
 // answer puts together what a search has come to. Blocks that are not in stand among the failures, those that were
 // not needed too: what they hold is not in the answer.
 func (a *asked) answer(given coordinator.Given, took time.Duration) reply {
--- a/query/part.go
+++ b/query/part.go
@@ -332,3 +332,36 @@
 	}
 	return cmp.Compare(m, n)
 }
+
+// CheckAnswer looks at a host's answer apart from what was asked: that it is one, in time, of one part that did not
+// fail, of the right index, with a total not under its hits.
+func CheckAnswer(index string, text []byte) error {
+	var a struct {
+		TimedOut *bool `json:"timed_out"`
+		Shards   *struct {
+			Total, Successful, Failed int
+		} `json:"_shards"`
+		Hits *struct {
+			Hits []struct {
+				Index string `json:"_index"`
+			} `json:"hits"`
+		} `json:"hits"`
+	}
+	if err := json.Unmarshal(text, &a); err != nil {
+		return spoilt("%v", err)
+	}
+	switch {
+	case a.TimedOut == nil || a.Shards == nil || a.Hits == nil:
+		return spoilt("no timed_out, _shards or hits")
+	case *a.TimedOut:
+		return spoilt("timed_out")
+	case a.Shards.Failed != 0 || a.Shards.Successful != 1 || a.Shards.Total != 1:
+		return spoilt("_shards: %d of %d, %d failed", a.Shards.Successful, a.Shards.Total, a.Shards.Failed)
+	}
+	for _, h := range a.Hits.Hits {
+		if index != "" && h.Index != index {
+			return spoilt("a hit of index %.60q", h.Index)
+		}
+	}
+	return nil
+}
