Refusals for room are told apart from failed hosts; a connection keeps what its host spoke

Cause: a search beyond its partner's share was told as 503, though no host had been asked. The race detector found a reader that looked up its host's tongue in the owner's table. Change: the door tells whether hosts were asked: 429 with Retry-After if not, 503 if so; a connection holds its tongue.

--- a/coordinator/door.go
+++ b/coordinator/door.go
@@ -22,6 +22,7 @@
 type Door struct {
 	Name        string // of the co-ordinator
 	Connections int    // that the front may hold
+	RetryAfter  bool   // clients may be told when to come back
 	Log         func(kind, event string, v ...any)
 
 	o                *owner
@@ -58,6 +59,7 @@
 	Kind    int
 	Whole   bool
 	RetryIn time.Duration // of Shed, 0 where none is named
+	Sent    bool          // of Shed and Errored: hosts were asked
 	Parts   []GivenPart   // that are in
 }
 
@@ -71,7 +73,7 @@
 var ErrAsked = errors.New("no such type or partner")
 
 func newDoor(o *owner) *Door {
-	return &Door{Name: o.plan.Name, o: o, classes: o.plan.names("Classes"), tenants: o.plan.names("Tenants"),
+	return &Door{Name: o.plan.Name, o: o, RetryAfter: o.plan.facts["Permissions.RetryAfter"] == "true", classes: o.plan.names("Classes"), tenants: o.plan.names("Tenants"),
 		Connections: max(1, int(frontShare*float64(o.plan.Sockets))), Log: o.log.often, cells: map[string]int{},
 		addrs: map[string]string{}}
 }
@@ -153,7 +155,7 @@
 		s.weights = append(s.weights, 1/float64(len(a.Shards)))
 	}
 	s.reply = func(r result) {
-		g := Given{Kind: r.kind, Whole: r.whole, RetryIn: time.Duration(r.retryIn) * tenth}
+		g := Given{Kind: r.kind, Whole: r.whole, RetryIn: time.Duration(r.retryIn) * tenth, Sent: r.sent}
 		for _, p := range r.parts {
 			g.Parts = append(g.Parts, GivenPart{Shard: p.shard, Read: p.read})
 		}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -91,6 +91,7 @@
 	kind    int
 	whole   bool
 	retryIn int64
+	sent    bool    // a sub-request was made for it
 	parts   []*part // that are in, in the search's order
 }
 
@@ -409,6 +410,7 @@
 
 func (o *owner) end(id uint64, r result) {
 	if s := o.searches[id]; s != nil {
+		r.sent = slices.ContainsFunc(s.parts, func(p *part) bool { return len(p.subs) > 0 })
 		o.finish(s)
 		s.reply(r)
 	}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -22,6 +22,7 @@
 type line struct {
 	*link
 	r      *replica
+	speaks tongue
 	shut   bool // takes no new calls
 	calls  int  // with a part out
 	subs   []*subRequest
@@ -111,7 +112,7 @@
 	l := sub.call.line
 	if !o.takeBack(sub) {
 		o.leave(sub)
-		l.r.speaks.cancel(l, sub)
+		l.speaks.cancel(l, sub)
 	}
 	// Guards against a machine that went silent: its open connection would swallow part after part. One new
 	// connection tells more than the old one: it comes up or does not.
@@ -208,7 +209,7 @@
 		return
 	}
 	b := lend()
-	*b = c.line.r.speaks.call(o, *b, c)
+	*b = c.line.speaks.call(o, *b, c)
 	c.parcel = &parcel{b: b}
 	c.line.usedAt = o.now
 	c.line.put(c.parcel)
@@ -230,7 +231,7 @@
 		if doubt {
 			doubted++
 		}
-		if !doubt && l.calls < r.speaks.streams(o) {
+		if !doubt && l.calls < l.speaks.streams(o) {
 			return l
 		}
 		if fullest == nil || l.calls < fullest.calls {
@@ -292,7 +293,7 @@
 
 // dial opens a connection; what is put on it waits until it is up.
 func (o *owner) dial(r *replica) *line {
-	l := &line{link: newLink(o.ctx, replicaRoom), r: r, usedAt: o.now}
+	l := &line{link: newLink(o.ctx, replicaRoom), r: r, speaks: r.speaks, usedAt: o.now}
 	r.lines = append(r.lines, l)
 	o.lines++
 	addr, wait := r.addr, o.plan.span("Permissions.DialTimeout")
@@ -305,7 +306,7 @@
 			end = starved
 		}
 		if err == nil {
-			end = l.serve(conn, wait, func(context.Context) error { return r.speaks.hear(o, l, conn) },
+			end = l.serve(conn, wait, func(context.Context) error { return l.speaks.hear(o, l, conn) },
 				func(*parcel) error { return nil })
 		}
 		o.post(func() { o.ended(l, end, addr) })
--- a/front/opensearch/opensearch_test.go
+++ b/front/opensearch/opensearch_test.go
@@ -4,13 +4,19 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,7 +34,7 @@
 "MachineTypes":["std"],"Classes":[
 {"Name":"quick-picks","Aim":4000.0,"Deadline":6000.0,"Effect":"retryable","LateShare":0.5},
 {"Name":"full-match","Aim":4000.0,"Deadline":6000.0,"Effect":"retryable","LateShare":0.5}],
-"Tenants":[{"Name":"acme","QuotaPerS":100000.0}],
+"Tenants":[{"Name":"acme","QuotaPerS":100000.0},{"Name":"scarce","QuotaPerS":1.0}],
 "Specifics":{"Sets":4,"Reach":1,"Ranges":9,"PerCall":1,"NeedByClass":[0.75,1.0],"ClassFloor":[0.75,1.0],"FollowUp":[0,0]},
 "Permissions":{"MaxAttempts":3,"ConnIdle":60000.0,"DialTimeout":500.0,"StreamsPerConn":32,"SecondCopies":true,
 "Cancelling":true,"RetryAfter":true,"MaxRetryAfter":500.0},
@@ -54,7 +60,9 @@
 
 func start(t *testing.T) *rig { return startWith(t, false) }
 
-func startWith(t *testing.T, speak bool) *rig {
+func startWith(t *testing.T, speak bool) *rig { return startFull(t, speak, nil) }
+
+func startFull(t *testing.T, speak bool, conf *tls.Config) *rig {
 	r := &rig{t: t, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	chance := rand.New(rand.NewSource(7))
 	r.all.Index = "members"
@@ -101,7 +109,8 @@
 		r.list.Known(), settings))
 	require.NoError(t, err)
 	eight := []int{0, 1, 2, 3, 4, 5, 6, 7}
-	front := &Front{Listener: other, Indices: []Index{{"members", "full-match", "acme", eight}, {"picks", "quick-picks", "acme", eight}}}
+	front := &Front{Listener: other, TLS: conf, Indices: []Index{{"members", "full-match", "acme", eight}, {"picks", "quick-picks", "acme", eight},
+		{"scarce", "full-match", "scarce", eight}}}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop, r.url = stop, "http://"+other.Addr().String()
 	go func() {
@@ -393,6 +402,63 @@
 	require.Equal(t, 404, status)
 }
 
+// Beyond its partner's share a search is refused at once, with a time to come back, and no host hears of it.
+func TestRefusedForRoom(t *testing.T) {
+	r := start(t)
+	began := time.Now()
+	var g sync.WaitGroup
+	for _, h := range r.hosts {
+		h.Set(func(standin.Part) {})
+	}
+	var refused, other atomic.Int64
+	for range 60 {
+		g.Go(func() {
+			status, m, head := r.do("POST", "/scarce/_search?timeout=1s", `{}`)
+			if status == 429 {
+				require.NotEmpty(t, head.Get("Retry-After"))
+				require.Equal(t, "rejected_execution_exception", m["error"].(map[string]any)["type"])
+				refused.Add(1)
+			} else {
+				other.Add(1)
+			}
+		})
+	}
+	g.Wait()
+	require.Positive(t, refused.Load())
+	require.Equal(t, int64(60), refused.Load()+other.Load())
+	require.Less(t, time.Since(began), 10*time.Second)
+}
+
+// With TLS the front speaks it, and asks for certificates where authorities are named.
+func TestTLS(t *testing.T) {
+	_, err := TLS("nowhere.pem", "nowhere.key", "")
+	require.Error(t, err)
+	s := httptest.NewTLSServer(nil) // brings a certificate for loopback
+	defer s.Close()
+	dir := t.TempDir()
+	key, err := x509.MarshalPKCS8PrivateKey(s.TLS.Certificates[0].PrivateKey)
+	require.NoError(t, err)
+	for name, block := range map[string]*pem.Block{"c.pem": {Type: "CERTIFICATE", Bytes: s.Certificate().Raw}, "c.key": {Type: "PRIVATE KEY", Bytes: key}} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600))
+	}
+	file := func(name string) string { return filepath.Join(dir, name) }
+	conf, err := TLS(file("c.pem"), file("c.key"), "")
+	require.NoError(t, err)
+	require.Equal(t, tls.NoClientCert, conf.ClientAuth)
+	strict, err := TLS(file("c.pem"), file("c.key"), file("c.pem"))
+	require.NoError(t, err)
+	require.Equal(t, tls.RequireAndVerifyClientCert, strict.ClientAuth)
+	_, err = TLS(file("c.pem"), file("c.key"), file("c.key"))
+	require.Error(t, err)
+	r := startFull(t, false, conf)
+	r.client = s.Client()
+	r.client.Transport.(*http.Transport).DisableCompression = true
+	defer r.client.CloseIdleConnections()
+	r.url = strings.Replace(r.url, "http://", "https://", 1)
+	status, m, _ := r.do("POST", "/members/_search", `{}`)
+	require.Equal(t, 200, status, "%v", m)
+}
+
 func TestEdges(t *testing.T) {
 	r := start(t)
 	pack := func(text string) string {
--- a/front/opensearch/search.go
+++ b/front/opensearch/search.go
@@ -195,11 +195,13 @@
 		return fault(400, "task_cancelled_exception", "%v", errCancelled)
 	case err != nil:
 		return fault(503, "search_phase_execution_exception", "the co-ordinator is stopping")
-	case given.Kind == coordinator.Shed && given.RetryIn == 0: // not for want of room: hosts failed it
+	case given.Kind == coordinator.Shed && given.Sent: // not for want of room: hosts failed it
 		return fault(503, "search_phase_execution_exception", "not enough blocks could be asked; trying again is harmless")
 	case given.Kind == coordinator.Shed:
 		out := fault(429, "rejected_execution_exception", "there is no room for this search now")
-		out.wait = given.RetryIn
+		if f.d.RetryAfter {
+			out.wait = max(given.RetryIn, time.Millisecond) // whole seconds on the wire: one at least
+		}
 		return out
 	case given.Kind != coordinator.Answered && time.Since(t.began) >= patience-2*partLong:
 		return fault(504, "timeout_exception", "not enough blocks answered within %v", patience)
