Background budgets count CPU time; search_after without an id goes on behind its ties

Cause: the CPU budgets of background work were read and never spent; a search_after that names fewer values than the sort has would be refused by hosts that hold to the API. Change: asking, answering and putting reports together spend their time; the id that is not told is taken for the last.

--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -161,7 +161,9 @@
 	job := work.Job{Name: askPrefix + name, Kind: askKind, Priority: work.Urgent, Tries: 1, Deadline: int64(askJob / tenth)}
 	_, err := l.pool.Add(job, func(ctx context.Context, a *work.Allowance) error {
 		how, later, err := l.askOne(ctx, at, a)
+		began := time.Now()
 		l.ended(at.Name, how, later, err)
+		a.Spend(ctx, 0, time.Since(began)) // putting reports together is of the asking's budget too
 		return nil
 	})
 	if err != nil {
@@ -182,7 +184,7 @@
 			defer l.mu.Unlock()
 			return l.shelf.Add(at.Name, notes)
 		},
-		Spend: func(ctx context.Context, bytes int) error { return a.Spend(ctx, bytes, 0) }}
+		Spend: a.Spend}
 	return asking.Run(ctx)
 }
 
@@ -351,11 +353,11 @@
 }
 
 // reply takes an answer's bytes from the budget of answers, as a job that is on its way already.
-func (l *learner) reply(ctx context.Context, bytes int) error {
+func (l *learner) reply(ctx context.Context, bytes int, cpu time.Duration) error {
 	done := make(chan error, 1)
 	_, err := l.pool.Add(work.Job{Name: "answer", Kind: replyKind, Priority: work.Usual, Tries: 1},
 		func(ctx context.Context, a *work.Allowance) error {
-			done <- a.Spend(ctx, bytes, 0)
+			done <- a.Spend(ctx, bytes, cpu)
 			return nil
 		})
 	if err != nil {
--- a/peer/asking.go
+++ b/peer/asking.go
@@ -24,7 +24,7 @@
 	// against a report that is too large for what may be spent: it is taken slowly, and in time or not at all.
 	Head  func(h learn.Head) error
 	Notes func(notes []learn.Note) error
-	Spend func(ctx context.Context, bytes int) error
+	Spend func(ctx context.Context, bytes int, cpu time.Duration) error
 }
 
 // Run asks for a report and returns once it is whole or will not be. Guards against a peer that is unreachable,
@@ -44,6 +44,7 @@
 	}
 	src, total, sum := bufio.NewReader(conn), 0, summer()
 	var room []byte
+	used := time.Duration(0) // on what came, told with the next frame
 	for open := false; ; {
 		conn.SetReadDeadline(time.Now().Add(frameTime))
 		var kind byte
@@ -55,10 +56,11 @@
 			return learn.Failed, 0, fmt.Errorf("%w: over %d bytes", ErrBad, totalMost)
 		}
 		if a.Spend != nil {
-			if err = a.Spend(ctx, len(rest)+5); err != nil {
+			if err = a.Spend(ctx, len(rest)+5, used); err != nil {
 				return learn.Failed, 0, err
 			}
 		}
+		began := time.Now()
 		switch {
 		case kind == kindLater && !open:
 			var ms uint32
@@ -99,6 +101,7 @@
 		if err != nil {
 			return learn.Failed, 0, err
 		}
+		used = time.Since(began)
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -28,7 +28,7 @@
 	// Report gives what is known now; Spend takes bytes from a budget.
 	Report func(ctx context.Context) (learn.Head, []learn.Note, error)
 	Status func(ctx context.Context) (Status, error)
-	Spend  func(ctx context.Context, bytes int) error
+	Spend  func(ctx context.Context, bytes int, cpu time.Duration) error
 	// Refused is told of askers that got no answer; strangers can bring that about at will.
 	Refused func(addr, why string)
 }
@@ -155,13 +155,14 @@
 		return
 	}
 	for part := range slices.Chunk(notes, learn.SliceMost) {
+		began := time.Now()
 		b, err := appendFrame(nil, kindNotes, part)
 		if err != nil {
 			s.Refused(conn.RemoteAddr().String(), err.Error())
 			return
 		}
 		sum.Write(b[5:])
-		if s.Spend != nil && s.Spend(ctx, len(b)) != nil {
+		if s.Spend != nil && s.Spend(ctx, len(b), time.Since(began)) != nil {
 			return
 		}
 		conn.SetWriteDeadline(time.Now().Add(frameTime))
--- a/query/parse.go
+++ b/query/parse.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Clause is one clause of a query, checked.
@@ -175,6 +176,9 @@
 	if q.Sort[len(q.Sort)-1].Field != "_id" {
 		q.Sort = append(q.Sort, SortKey{Field: "_id", Missing: "_last"})
 	}
+	if n := len(q.After); n > 0 && n < len(q.Sort) { // behind all members that share the values told, as the API has it
+		q.After = append(q.After, string(utf8.MaxRune))
+	}
 	return nil
 }
 
