--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -27,6 +27,7 @@
 
 // Measures are the measurements by name.
 var Measures = map[string]func(ctx context.Context, seed int64) (Result, error){
+	"clients":    Clients,
 	"learning":   Learning,
 	"memory":     Memory,
 	"peers":      PeerCost,
