One check of an answer's head, one fleet of sound hosts

Cause: reading the change through showed the same check twice in package query and the same fleet twice in the lab. Change: both callers use one piece each; behaviour as before.

--- a/lab/clients.go
+++ b/lab/clients.go
@@ -26,10 +26,7 @@
 func Clients(ctx context.Context, seed int64) (Result, error) {
 	ctx, stop := context.WithTimeout(ctx, 55*time.Second)
 	defer stop()
-	f, err := newFleet(16, func(i int) func(p standin.Part) {
-		wait := uniform(seed+int64(i), 2*time.Millisecond, 4*time.Millisecond)
-		return func(p standin.Part) { time.AfterFunc(wait(), p.Good) }
-	})
+	f, err := soundFleet(16, seed)
 	if err != nil {
 		return Result{}, err
 	}
--- a/lab/cost.go
+++ b/lab/cost.go
@@ -230,10 +230,7 @@
 func PeerCost(ctx context.Context, seed int64) (Result, error) {
 	ctx, stop := context.WithTimeout(ctx, 55*time.Second)
 	defer stop()
-	f, err := newFleet(64, func(i int) func(p standin.Part) {
-		wait := uniform(seed+int64(i), 2*time.Millisecond, 4*time.Millisecond)
-		return func(p standin.Part) { time.AfterFunc(wait(), p.Good) }
-	})
+	f, err := soundFleet(64, seed)
 	if err != nil {
 		return Result{}, err
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -89,6 +89,14 @@
 	return f, err
 }
 
+// soundFleet starts hosts that answer all in 2 to 4 ms.
+func soundFleet(n int, seed int64) (*fleet, error) {
+	return newFleet(n, func(i int) func(p standin.Part) {
+		wait := uniform(seed+int64(i), 2*time.Millisecond, 4*time.Millisecond)
+		return func(p standin.Part) { time.AfterFunc(wait(), p.Good) }
+	})
+}
+
 func (f *fleet) close() {
 	for _, h := range f.hosts {
 		h.Close()
--- a/query/part.go
+++ b/query/part.go
@@ -219,6 +219,29 @@
 	return fmt.Errorf("%w: %s", ErrAnswer, fmt.Sprintf(format, v...))
 }
 
+// answerHead is what an answer tells of its part.
+type answerHead struct {
+	TimedOut *bool `json:"timed_out"`
+	Shards   *struct {
+		Total      int `json:"total"`
+		Successful int `json:"successful"`
+		Failed     int `json:"failed"`
+	} `json:"_shards"`
+}
+
+// check looks that the one part that was asked is there, in time and whole.
+func (h *answerHead) check(hits bool) error {
+	switch {
+	case h.TimedOut == nil || h.Shards == nil || !hits:
+		return spoilt("no timed_out, _shards or hits")
+	case *h.TimedOut:
+		return spoilt("timed_out")
+	case h.Shards.Failed != 0 || h.Shards.Successful != 1 || h.Shards.Total != 1:
+		return spoilt("_shards: %d of %d, %d failed", h.Shards.Successful, h.Shards.Total, h.Shards.Failed)
+	}
+	return nil
+}
+
 // ReadAnswer takes a host's answer to a part apart and looks at all that a whole rests on. Guards against a host that
 // answers in valid syntax and leaves its part out, ran out of time, speaks of another index, doubles a hit, sends
 // them in no order or more than were asked for, gives scores that are no numbers, or a total below its hits.
@@ -227,14 +250,9 @@
 		return nil, spoilt("%d bytes", len(text))
 	}
 	var a struct {
-		TimedOut *bool `json:"timed_out"`
-		Early    bool  `json:"terminated_early"`
-		Shards   *struct {
-			Total      int `json:"total"`
-			Successful int `json:"successful"`
-			Failed     int `json:"failed"`
-		} `json:"_shards"`
-		Hits *struct {
+		answerHead
+		Early bool `json:"terminated_early"`
+		Hits  *struct {
 			Total jsontext.Value `json:"total"`
 			Hits  []rawHit       `json:"hits"`
 		} `json:"hits"`
@@ -243,14 +261,10 @@
 	if err := jsonv2.Unmarshal(text, &a); err != nil {
 		return nil, spoilt("%v", err)
 	}
-	switch {
-	case a.TimedOut == nil || a.Shards == nil || a.Hits == nil:
-		return nil, spoilt("no timed_out, _shards or hits")
-	case *a.TimedOut:
-		return nil, spoilt("timed_out")
-	case a.Shards.Failed != 0 || a.Shards.Successful != 1 || a.Shards.Total != 1:
-		return nil, spoilt("_shards: %d of %d, %d failed", a.Shards.Successful, a.Shards.Total, a.Shards.Failed)
-	case len(a.Hits.Hits) > q.From+q.Size:
+	if err := a.check(a.Hits != nil); err != nil {
+		return nil, err
+	}
+	if len(a.Hits.Hits) > q.From+q.Size {
 		return nil, spoilt("%d hits, %d were asked for", len(a.Hits.Hits), q.From+q.Size)
 	}
 	out := &Answer{Shard: shard, Hits: make([]Hit, len(a.Hits.Hits)), Early: a.Early}
@@ -459,12 +473,7 @@
 // fail, of the right index, with a total not under its hits.
 func CheckAnswer(index string, text []byte) error {
 	var a struct {
-		TimedOut *bool `json:"timed_out"`
-		Shards   *struct {
-			Total      int `json:"total"`
-			Successful int `json:"successful"`
-			Failed     int `json:"failed"`
-		} `json:"_shards"`
+		answerHead
 		Hits *struct {
 			Hits []struct {
 				Index string `json:"_index"`
@@ -474,13 +483,8 @@
 	if err := jsonv2.Unmarshal(text, &a); err != nil {
 		return spoilt("%v", err)
 	}
-	switch {
-	case a.TimedOut == nil || a.Shards == nil || a.Hits == nil:
-		return spoilt("no timed_out, _shards or hits")
-	case *a.TimedOut:
-		return spoilt("timed_out")
-	case a.Shards.Failed != 0 || a.Shards.Successful != 1 || a.Shards.Total != 1:
-		return spoilt("_shards: %d of %d, %d failed", a.Shards.Successful, a.Shards.Total, a.Shards.Failed)
+	if err := a.check(a.Hits != nil); err != nil {
+		return err
 	}
 	for _, h := range a.Hits.Hits {
 		if index != "" && h.Index != index {
