--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -61,7 +61,6 @@
 	taken  *learn.Taker
 	serial uint64
 	load   float64
-	heard  int // hosts of which something was last handed to the module
 
 	version atomic.Int64 // of the list in force
 	feeding sync.Mutex   // one hand-over to the module at a time
@@ -223,7 +222,6 @@
 		ms, listed := l.since[host]
 		return ms, listed
 	})
-	l.heard = len(heard)
 	l.mu.Unlock()
 	for part := range slices.Chunk(heard, learn.SliceMost) {
 		if l.turn(func() {
--- a/coordinator/tongues.go
+++ b/coordinator/tongues.go
@@ -151,9 +151,8 @@
 
 func (openSearch) cancel(l *line, _ *subRequest) { l.cut(retired) }
 
-// outcomeOf is the one table from what an OpenSearch host answers to the module's outcomes; close tells that the
-// connection cannot be used on. 429 and 503 have not run; whatever else is no good answer may have.
-func outcomeOf(status int, body []byte, shard int, index string) (outcome string, err error) {
+// outcomeOf is the one table from what an OpenSearch host answers to the module's outcomes. 429 and 503 have not run; whatever else is no good answer may have.
+func outcomeOf(status int, body []byte, index string) (outcome string, err error) {
 	switch {
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return "QueueFull", nil
@@ -201,9 +200,8 @@
 		if !open {
 			return k.spoilt(o, l, errors.New("an answer to nothing"))
 		}
-		shard, _ := strconv.Atoi(strings.TrimSuffix(id, ".r")[strings.LastIndexByte(strings.TrimSuffix(id, ".r"), '.')+1:])
 		body := b.Bytes()
-		outcome, why := outcomeOf(res.StatusCode, body, shard, k.index)
+		outcome, why := outcomeOf(res.StatusCode, body, k.index)
 		if outcome == "Ok" && !utf8.Valid(body) {
 			outcome, why = "Failed", errors.New("no text")
 		}
--- a/front/opensearch/search.go
+++ b/front/opensearch/search.go
@@ -60,12 +60,10 @@
 		v := all[len(all)-1]
 		switch {
 		case slices.Contains(idle, name):
-		case slices.Contains(known, name) || !slices.Contains(taken, name) && !slices.Contains(known, name):
-			if slices.Contains(known, name) {
-				err = fmt.Errorf("parameter [%s] is known to the API and not done here", name)
-			} else {
-				err = fmt.Errorf("request contains unrecognized parameter: [%.100s]", name)
-			}
+		case slices.Contains(known, name):
+			err = fmt.Errorf("parameter [%s] is known to the API and not done here", name)
+		case !slices.Contains(taken, name):
+			err = fmt.Errorf("request contains unrecognized parameter: [%.100s]", name)
 		case name == "allow_partial_search_results":
 			a.partial, err = strconv.ParseBool(v)
 		case name == "cancel_after_time_interval":
--- a/peer/asking.go
+++ b/peer/asking.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -176,6 +175,3 @@
 	_, err = conn.Write(b)
 	return err
 }
-
-// Unsafe tells whether an error says that a peer sent what it must not, rather than that it could not be reached.
-func Unsafe(err error) bool { return errors.Is(err, ErrBad) }
