--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -190,19 +190,39 @@
 // An answer that comes after its part was given up is dropped, and the connection stays in use.
 func TestLateAnswer(t *testing.T) {
 	r := start(t, 256, nil)
-	held := make(chan asked, 1)
+	held, gate := make(chan asked, 1), make(chan struct{})
 	for _, s := range r.replicas {
 		s.Set(func(a asked) {
-			if a.Shard == 3 && a.Text == "what" && strings.HasPrefix(a.ID, "q1") {
+			switch {
+			case a.Shard == 3 && strings.HasPrefix(a.ID, "q1"):
 				held <- a
-				return
+			case strings.HasPrefix(a.ID, "q1"):
+				go func() { <-gate; a.Good() }()
+			default:
+				a.Good()
 			}
-			a.Good()
 		})
 	}
-	c := r.call()
-	c.want("q1", "some", 200, "")
+	c := r.call().send(request("q1", "some", "", fourParts))
 	a := <-held
+	// A host may have a frame before its writer here has noted that it is out, and a frame that is only begun at
+	// the answer ends its connection.
+	r.eventually("all frames are noted as written", func() bool {
+		out := make(chan int, 1)
+		r.owner.post(func() {
+			done := 0
+			for _, p := range r.owner.parts {
+				if len(p.subs) > 0 && p.subs[0].call.parcel.stage.Load() == written {
+					done++
+				}
+			}
+			out <- done
+		})
+		return <-out == 4
+	})
+	close(gate)
+	status, _, _, _ := c.answer()
+	require.Equal(t, 200, status)
 	a.Good()
 	a.Reply("good", "1", "unknown part")
 	c.want("q2", "all", 200, wholeOfAll)
