Another block's hits are found out by the API's placement rule; merging is associative

Two points of the OpenSearch side were open: a host that sends another block's hits in good form was not seen, since hits do not name their block, and merging was shown only as equal whatever the split.

An index or a kind of host may say that members are placed by the API's published rule (murmur3 of _routing or _id over routing shards): a hit of another block then fails its part, at the hosts' side and at the search's check. Request.Join puts answers together in any grouping; Merge is the join of all, written out. Tests: the API's own hash values, hosts of both kinds that answer with another block, drawn groups of groups equal to the letter with members on several parts.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -87,7 +87,7 @@
 			return noStart(err)
 		}
 		for kind, h := range file.Hosts {
-			hosts[kind] = coordinator.HostKind{Index: h.Index}
+			hosts[kind] = coordinator.HostKind{Index: h.Index, Placed: h.Placed}
 		}
 	}
 	plan.Bound()
@@ -149,7 +149,8 @@
 	}
 	f := &opensearch.Front{}
 	for _, x := range o.Indices {
-		f.Indices = append(f.Indices, opensearch.Index{Name: x.Name, Type: x.Type, Partner: x.Partner, Blocks: x.Blocks})
+		f.Indices = append(f.Indices, opensearch.Index{Name: x.Name, Type: x.Type, Partner: x.Partner, Blocks: x.Blocks,
+			Placed: x.Placed})
 	}
 	var err error
 	if o.TLS != nil {
--- a/coordinator/tongues.go
+++ b/coordinator/tongues.go
@@ -35,12 +35,16 @@
 	hear(o *owner, l *line, conn net.Conn) error
 }
 
-// HostKind is a kind of host, by the list's kind, that speaks the OpenSearch-style API; its members are in Index.
-type HostKind struct{ Index string }
+// HostKind is a kind of host, by the list's kind, that speaks the OpenSearch-style API; its members are in Index, in
+// blocks by the API's rule where Placed says so.
+type HostKind struct {
+	Index  string
+	Placed *query.Placement
+}
 
 func (o *owner) tongueOf(kind string) tongue {
 	if k, ok := o.Hosts[kind]; ok {
-		return openSearch{index: k.Index}
+		return openSearch{k}
 	}
 	return frames{}
 }
@@ -134,7 +138,7 @@
 
 // openSearch is the OpenSearch-style API: one part a request, one request a connection at a time. A part that is given
 // up ends its connection, which cancels it at the host; what the host still answers is not read.
-type openSearch struct{ index string }
+type openSearch struct{ HostKind }
 
 func (openSearch) perCall(*owner) int { return 1 }
 func (openSearch) streams(*owner) int { return 1 }
@@ -145,21 +149,21 @@
 	left := max(1, (sub.due-o.now)/10)
 	dst = fmt.Appendf(dst, "POST /%s/_search?preference=_shards:%d&cancel_after_time_interval=%dms&allow_partial_search_results=false"+
 		" HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nX-Opaque-Id: %s\r\nContent-Length: %d\r\n\r\n",
-		url.PathEscape(k.index), sub.p.shard, left, c.line.r.addr, sub.name, len(sub.p.s.text))
+		url.PathEscape(k.Index), sub.p.shard, left, c.line.r.addr, sub.name, len(sub.p.s.text))
 	return append(dst, sub.p.s.text...)
 }
 
 func (openSearch) cancel(l *line, _ *subRequest) { l.cut(retired) }
 
-// outcomeOf is the one table from what an OpenSearch host answers to the module's outcomes. 429 and 503 have not run; whatever else is no good answer may have.
-func outcomeOf(status int, body []byte, index string) (outcome string, err error) {
+// outcome is the one table from what an OpenSearch host answers to the module's outcomes. 429 and 503 have not run; whatever else is no good answer may have.
+func (k openSearch) outcome(status int, body []byte, shard int) (outcome string, err error) {
 	switch {
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return "QueueFull", nil
 	case status != http.StatusOK:
 		return "Failed", fmt.Errorf("status %d", status)
 	}
-	if err := query.CheckAnswer(index, body); err != nil {
+	if err := query.CheckAnswer(k.Index, k.Placed, shard, body); err != nil {
 		return "Failed", err
 	}
 	return "Ok", nil
@@ -187,21 +191,22 @@
 		if err != nil || n > hostBodyMost {
 			return k.spoilt(o, l, fmt.Errorf("%d bytes: %w", n, errors.Join(err, frame.ErrBad)))
 		}
-		name := make(chan string, 1)
+		asked := make(chan *subRequest, 1)
 		if !o.post(func() {
 			if len(l.subs) == 1 {
-				name <- l.subs[0].name
+				asked <- l.subs[0]
 			}
-			close(name)
+			close(asked)
 		}) {
 			return closing
 		}
-		id, open := <-name
+		sub, open := <-asked
 		if !open {
 			return k.spoilt(o, l, errors.New("an answer to nothing"))
 		}
+		id, shard := sub.name, sub.p.shard // neither changes
 		body := b.Bytes()
-		outcome, why := outcomeOf(res.StatusCode, body, k.index)
+		outcome, why := k.outcome(res.StatusCode, body, shard)
 		if outcome == "Ok" && !utf8.Valid(body) {
 			outcome, why = "Failed", errors.New("no text")
 		}
--- a/front/opensearch/opensearch_test.go
+++ b/front/opensearch/opensearch_test.go
@@ -27,6 +27,7 @@
 	"go.uber.org/goleak"
 
 	"chalkring/coordinator"
+	"chalkring/query"
 	"chalkring/standin"
 )
 
@@ -66,6 +67,7 @@
 	r := &rig{t: t, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	chance := rand.New(rand.NewSource(7))
 	r.all.Index = "members"
+	placed := &query.Placement{Shards: 8}
 	for range 8 {
 		r.blocks = append(r.blocks, &standin.Members{Index: "members"})
 	}
@@ -73,7 +75,7 @@
 	for i := range 400 {
 		m := standin.Member{ID: fmt.Sprintf("m%03d", i), Fields: map[string]any{"town": towns[chance.Intn(3)], "age": float64(18 + chance.Intn(50))}}
 		r.all.All = append(r.all.All, m)
-		b := r.blocks[chance.Intn(8)]
+		b := r.blocks[placed.Block(m.ID)]
 		b.All = append(b.All, m)
 	}
 	var entries []standin.Entry
@@ -109,14 +111,14 @@
 		r.list.Known(), settings))
 	require.NoError(t, err)
 	eight := []int{0, 1, 2, 3, 4, 5, 6, 7}
-	front := &Front{Listener: other, TLS: conf, Indices: []Index{{"members", "full-match", "acme", eight}, {"picks", "quick-picks", "acme", eight},
-		{"scarce", "full-match", "scarce", eight}}}
+	front := &Front{Listener: other, TLS: conf, Indices: []Index{{"members", "full-match", "acme", eight, placed},
+		{"picks", "quick-picks", "acme", eight, placed}, {"scarce", "full-match", "scarce", eight, placed}}}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop, r.url = stop, "http://"+other.Addr().String()
 	go func() {
 		r.ended <- plan.Serve(ctx, coordinator.Means{Listener: own, Dial: (&net.Dialer{}).DialContext, Clock: coordinator.SystemClock{},
 			Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Fronts: []coordinator.Front{front},
-			Hosts: map[string]coordinator.HostKind{"search": {Index: "members"}}})
+			Hosts: map[string]coordinator.HostKind{"search": {Index: "members", Placed: placed}}})
 	}()
 	t.Cleanup(func() {
 		stop()
@@ -232,6 +234,23 @@
 	require.Less(t, time.Since(began), 3*time.Second)
 }
 
+// A host of the own protocol that answers with another block's members in good form has failed its part.
+func TestAnotherBlock(t *testing.T) {
+	r := start(t)
+	r.hosts[0].Set(func(p standin.Part) {
+		text, _ := r.blocks[(p.Shard+4)%8].Search([]byte(p.Text))
+		p.Reply("good", "1", string(text))
+	})
+	text, _ := r.all.Search([]byte(`{"size":30,"sort":[{"age":{"order":"asc"}},{"_id":{}}]}`))
+	var want map[string]any
+	require.NoError(t, json.Unmarshal(text, &want))
+	for range 5 {
+		code, m, _ := r.do("POST", "/members/_search", `{"size":30,"sort":["age"]}`)
+		require.Equal(t, 200, code, "%v", m)
+		require.Equal(t, ids(want), ids(m))
+	}
+}
+
 // A block that no listed host holds is told before anything is sent.
 func TestUnknownBlocks(t *testing.T) {
 	r := start(t)
@@ -568,8 +587,16 @@
 	text, _ := r.all.Search([]byte(`{"size":30,"sort":[{"age":{"order":"asc"}},{"_id":{}}],"track_total_hits":true}`))
 	var want map[string]any
 	require.NoError(t, json.Unmarshal(text, &want))
+	q, err := query.Parse([]byte(body))
+	require.NoError(t, err)
 	for name, do := range map[string]func(http.ResponseWriter, *http.Request, []byte){
-		"sound":           nil,
+		"sound": nil,
+		"another block": func(w http.ResponseWriter, req *http.Request, _ []byte) {
+			var block int
+			fmt.Sscanf(req.URL.Query().Get("preference"), "_shards:%d", &block)
+			text, _ := r.blocks[(block+4)%8].Search(q.Part())
+			w.Write(text)
+		},
 		"429":             status(429),
 		"503":             status(503),
 		"500":             status(500),
--- a/front/opensearch/search.go
+++ b/front/opensearch/search.go
@@ -216,6 +216,9 @@
 // client a hit is of the index that was asked.
 func (a *asked) check(shard int, value []byte) (any, error) {
 	read, err := a.q.ReadAnswer(shard, "", value)
+	if err == nil {
+		err = read.Placed(a.index.Placed)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/front/opensearch/server.go
+++ b/front/opensearch/server.go
@@ -51,6 +51,7 @@
 type Index struct {
 	Name, Type, Partner string
 	Blocks              []int
+	Placed              *query.Placement // the rule by which members are in them, nil where it is not the API's
 }
 
 // Front serves the API on a listener.
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -20,6 +20,7 @@
 	"github.com/goccy/go-yaml/parser"
 
 	"chalkring/learn"
+	"chalkring/query"
 )
 
 const (
@@ -69,11 +70,14 @@
 	Type    string `yaml:"type"`    // of query, as the plan's settings name it
 	Partner string `yaml:"partner"` // likewise; left out where the plan names none
 	Blocks  []int  `yaml:"blocks"`  // member blocks
+
+	Placed *query.Placement `yaml:"placed"` // the rule by which members are in them; left out where it is not the API's
 }
 
 // Host is a kind of host that speaks the OpenSearch-style API.
 type Host struct {
-	Index string `yaml:"index"` // in which it keeps members
+	Index  string           `yaml:"index"`  // in which it keeps members
+	Placed *query.Placement `yaml:"placed"` // as an index's
 }
 
 // Peer is one to ask.
@@ -144,6 +148,7 @@
 	c.openSearch(f, dir)
 	for kind, h := range f.Hosts {
 		c.name("$.hosts."+kind+".index", h.Index)
+		c.placed("$.hosts."+kind+".placed", h.Placed)
 	}
 	c.background(f)
 	c.log(f)
@@ -278,6 +283,16 @@
 		if len(slices.Compact(sorted)) < len(x.Blocks) || len(sorted) > 0 && sorted[0] < 0 {
 			c.fault(at+".blocks", "a block is there twice or under 0")
 		}
+		c.placed(at+".placed", x.Placed)
+		if x.Placed != nil && len(sorted) > 0 && sorted[len(sorted)-1] >= x.Placed.Shards {
+			c.fault(at+".placed", "block %d is not under number_of_shards", sorted[len(sorted)-1])
+		}
+	}
+}
+
+func (c *checker) placed(at string, p *query.Placement) {
+	if p != nil && !p.Check() {
+		c.fault(at, "number_of_shards is from 1 to 1024, number_of_routing_shards a multiple of it or left out")
 	}
 }
 
--- a/query/merge.go
+++ b/query/merge.go
@@ -38,18 +38,14 @@
 // A member on two parts counts once, as the part with the lower number has it. Totals and aggregations of less than
 // all parts are told as such: the relation of the total is gte, and _shards tells how many are in.
 func (q *Request) Merge(o Outcome) []byte {
-	answers := slices.Clone(o.Answers)
-	slices.SortFunc(answers, func(a, b *Answer) int { return a.Shard - b.Shard })
-	hits, doubled := q.top(answers)
-	total, atLeast, early := 0, len(o.Failures)+o.Skipped > 0, false
+	whole := q.Join(o.Answers...)
+	hits, total, atLeast := whole.Hits[:min(len(whole.Hits), q.From+q.Size)], whole.Total, whole.AtLeast
+	atLeast = atLeast || len(o.Failures)+o.Skipped > 0
 	var best *float64
-	for _, a := range answers {
-		total, atLeast, early = total+a.Total, atLeast || a.AtLeast, early || a.Early
-	}
 	if k := q.Sort[0]; k.Field == "_score" && k.Desc && len(hits) > 0 && len(q.After) == 0 {
 		best = hits[0].Score
 	}
-	if total -= doubled; q.TrackTotal < math.MaxInt && total > q.TrackTotal {
+	if total -= whole.Doubled; q.TrackTotal < math.MaxInt && total > q.TrackTotal {
 		total, atLeast = q.TrackTotal, true
 	}
 	if len(hits) > q.From {
@@ -72,7 +68,7 @@
 		}
 		body["total"] = map[string]any{"value": total, "relation": relation}
 	}
-	shards := map[string]any{"total": len(answers) + len(o.Failures) + o.Skipped, "successful": len(answers) + o.Skipped,
+	shards := map[string]any{"total": whole.Parts + len(o.Failures) + o.Skipped, "successful": whole.Parts + o.Skipped,
 		"skipped": o.Skipped, "failed": len(o.Failures)}
 	if len(o.Failures) > 0 {
 		var all []any
@@ -83,13 +79,13 @@
 		shards["failures"] = all
 	}
 	all := map[string]any{"took": o.Took, "timed_out": o.TimedOut, "_shards": shards, "hits": body}
-	if early {
+	if whole.Early {
 		all["terminated_early"] = true
 	}
 	if len(q.Aggs) > 0 {
 		var got []map[string]any
-		for _, a := range answers {
-			got = append(got, a.Aggs)
+		for _, p := range whole.aggs {
+			got = append(got, p.aggs)
 		}
 		all["aggregations"] = mergeAggs(q.Aggs, got)
 	}
@@ -97,11 +93,26 @@
 	return text
 }
 
-// cursor is a part's list of hits as far as it has been taken.
+// Join puts answers together so that they can be joined or merged further: whatever the order and the grouping, the
+// result is the same. All hits stay, since one that is beyond the page may be there twice in what comes later.
+func (q *Request) Join(answers ...*Answer) *Answer {
+	out := &Answer{Shard: math.MaxInt}
+	for _, a := range answers {
+		out.Shard = min(out.Shard, a.Shard)
+		out.Parts, out.Total, out.Doubled = out.Parts+a.Parts, out.Total+a.Total, out.Doubled+a.Doubled
+		out.AtLeast, out.Early = out.AtLeast || a.AtLeast, out.Early || a.Early
+		out.aggs = append(out.aggs, a.aggs...)
+	}
+	slices.SortStableFunc(out.aggs, func(x, y partAnswer) int { return x.shard - y.shard })
+	hits, doubled := q.all(answers)
+	out.Hits, out.Doubled = hits, out.Doubled+doubled
+	return out
+}
+
+// cursor is a list of hits as far as it has been taken.
 type cursor struct {
 	q    *Request
 	hits []Hit
-	part int
 }
 
 type cursors []*cursor
@@ -111,7 +122,7 @@
 	if by := c[i].q.compare(c[i].hits[0].Sort, c[j].hits[0].Sort); by != 0 {
 		return by < 0
 	}
-	return c[i].part < c[j].part
+	return c[i].hits[0].shard < c[j].hits[0].shard
 }
 func (c cursors) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
 func (c *cursors) Push(v any)   { *c = append(*c, v.(*cursor)) }
@@ -122,18 +133,20 @@
 	return v
 }
 
-// top takes the first from+size hits of all parts, and counts those that were there twice. The heap holds a cursor a
-// part, so that no more is held than the answers themselves.
-func (q *Request) top(answers []*Answer) (hits []Hit, doubled int) {
+// all merges the hits of all answers, a member that is there twice as its first, and counts the others. The heap holds
+// a cursor an answer, so that no more is held than the answers themselves.
+func (q *Request) all(answers []*Answer) (hits []Hit, doubled int) {
 	var c cursors
-	for i, a := range answers {
-		if len(a.Hits) > 0 {
-			c = append(c, &cursor{q, a.Hits, i})
+	n := 0
+	for _, a := range answers {
+		if n += len(a.Hits); len(a.Hits) > 0 {
+			c = append(c, &cursor{q, a.Hits})
 		}
 	}
 	heap.Init(&c)
-	seen := map[string]bool{}
-	for len(c) > 0 && len(hits) < q.From+q.Size {
+	hits = make([]Hit, 0, n)
+	seen := make(map[string]bool, n)
+	for len(c) > 0 {
 		first := c[0]
 		h := first.hits[0]
 		if first.hits = first.hits[1:]; len(first.hits) == 0 {
@@ -148,14 +161,6 @@
 		seen[h.ID] = true
 		hits = append(hits, h)
 	}
-	for _, rest := range c {
-		for _, h := range rest.hits {
-			if seen[h.ID] {
-				doubled++
-			}
-			seen[h.ID] = true
-		}
-	}
 	return hits, doubled
 }
 
--- a/query/part.go
+++ b/query/part.go
@@ -124,6 +124,9 @@
 	Score  *float64        `json:"_score"`
 	Source json.RawMessage `json:"_source,omitempty"`
 	Sort   []SortValue     `json:"sort,omitempty"`
+
+	routing string
+	shard   int // the part it came with
 }
 
 // rawHit is a hit as it is read: its sort values keep their digits.
@@ -133,10 +136,12 @@
 	Score  jsontext.Value `json:"_score"`
 	Source jsontext.Value `json:"_source"`
 	Sort   sortValues     `json:"sort"`
+
+	Routing string `json:"_routing"`
 }
 
 func (r *rawHit) into(h *Hit) error {
-	h.Index, h.ID, h.Source = r.Index, r.ID, json.RawMessage(r.Source)
+	h.Index, h.ID, h.Source, h.routing = r.Index, r.ID, json.RawMessage(r.Source), r.Routing
 	if len(r.Score) > 0 && r.Score.Kind() != 'n' {
 		v, err := strconv.ParseFloat(string(r.Score), 64)
 		if err != nil {
@@ -202,14 +207,32 @@
 	return []byte("null"), nil
 }
 
-// Answer is what a host answered to a part, checked.
+// Answer is what a host answered to a part, checked, or several such joined.
 type Answer struct {
-	Shard   int
+	Shard   int // the lowest of those that are joined
+	Parts   int // how many are
 	Total   int
+	Doubled int  // hits that were there more than once
 	AtLeast bool // the total is a lower bound
-	Early   bool // the host stopped at terminate_after
+	Early   bool // a host stopped at terminate_after
 	Hits    []Hit
-	Aggs    map[string]any
+	aggs    []partAnswer
+}
+
+// partAnswer is what one part told for the aggregations.
+type partAnswer struct {
+	shard int
+	aggs  map[string]any
+}
+
+// Placed looks that all hits are of the block that was asked, by the rule that places them.
+func (a *Answer) Placed(p *Placement) error {
+	for _, h := range a.Hits {
+		if err := p.holds(a.Shard, h.ID, h.routing); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // ErrAnswer is a host's answer that cannot be used. The part may have run; the host has failed it.
@@ -267,11 +290,12 @@
 	if len(a.Hits.Hits) > q.From+q.Size {
 		return nil, spoilt("%d hits, %d were asked for", len(a.Hits.Hits), q.From+q.Size)
 	}
-	out := &Answer{Shard: shard, Hits: make([]Hit, len(a.Hits.Hits)), Early: a.Early}
+	out := &Answer{Shard: shard, Parts: 1, Hits: make([]Hit, len(a.Hits.Hits)), Early: a.Early}
+	var aggs map[string]any
 	if len(a.Aggs) > 0 {
 		d := json.NewDecoder(bytes.NewReader(a.Aggs))
 		d.UseNumber()
-		if err := d.Decode(&out.Aggs); err != nil {
+		if err := d.Decode(&aggs); err != nil {
 			return nil, spoilt("%v", err)
 		}
 	}
@@ -279,6 +303,7 @@
 		if err := a.Hits.Hits[i].into(&out.Hits[i]); err != nil {
 			return nil, err
 		}
+		out.Hits[i].shard = shard
 	}
 	if err := out.total(json.RawMessage(a.Hits.Total), q.TrackTotal == 0); err != nil {
 		return nil, err
@@ -301,7 +326,8 @@
 		}
 		seen[h.ID] = true
 	}
-	return out, q.checkAggs(q.Aggs, out.Aggs)
+	out.aggs = []partAnswer{{shard, aggs}}
+	return out, q.checkAggs(q.Aggs, aggs)
 }
 
 func (a *Answer) total(text json.RawMessage, untracked bool) error {
@@ -470,13 +496,15 @@
 }
 
 // CheckAnswer looks at a host's answer apart from what was asked: that it is one, in time, of one part that did not
-// fail, of the right index, with a total not under its hits.
-func CheckAnswer(index string, text []byte) error {
+// fail, of the right index and, where a placement is known, of the right block.
+func CheckAnswer(index string, placed *Placement, shard int, text []byte) error {
 	var a struct {
 		answerHead
 		Hits *struct {
 			Hits []struct {
-				Index string `json:"_index"`
+				Index   string `json:"_index"`
+				ID      string `json:"_id"`
+				Routing string `json:"_routing"`
 			} `json:"hits"`
 		} `json:"hits"`
 	}
@@ -490,6 +518,9 @@
 		if index != "" && h.Index != index {
 			return spoilt("a hit of index %.60q", h.Index)
 		}
+		if err := placed.holds(shard, h.ID, h.Routing); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -108,7 +108,9 @@
 	blocks := make([]standin.Members, parts)
 	for _, m := range all {
 		b := &blocks[c.Intn(parts)]
-		b.All = append(b.All, m)
+		if !slices.ContainsFunc(b.All, func(other standin.Member) bool { return other.ID == m.ID }) {
+			b.All = append(b.All, m)
+		}
 	}
 	var answers []*query.Answer
 	for i := range blocks {
@@ -173,6 +175,52 @@
 	}
 }
 
+// Merging is associative: parts joined in whatever groups, and groups of groups, are the whole to the letter; members
+// that are on several parts too.
+func TestJoiningIsAssociative(t *testing.T) {
+	all := members(3, 120)
+	rapid.Check(t, func(t *rapid.T) {
+		c := rand.New(rand.NewSource(int64(rapid.IntRange(0, 1<<20).Draw(t, "seed"))))
+		q := parse(t, search(c))
+		twice := append(slices.Clone(all), all[:c.Intn(40)]...)
+		parts := split(t, q, twice, 1+c.Intn(9), c)
+		want := string(q.Merge(query.Outcome{Answers: parts}))
+		for len(parts) > 1 {
+			i := c.Intn(len(parts) - 1)
+			n := 1 + c.Intn(len(parts)-i)
+			joined := q.Join(parts[i : i+n]...)
+			parts = append(append(slices.Clone(parts[:i]), parts[i+n:]...), joined)
+			require.Equal(t, want, string(q.Merge(query.Outcome{Answers: parts})))
+		}
+	})
+}
+
+// The API's own numbers for its placement rule.
+func TestPlacement(t *testing.T) {
+	for text, hash := range map[string]uint32{"hell": 0x5a0cb7c3, "hello": 0xd7c31989, "hello w": 0x22ab2984,
+		"hello wo": 0xdf0ca123, "hello wor": 0xe7744d61, "The quick brown fox jumps over the lazy dog": 0xe07db09c,
+		"The quick brown fox jumps over the lazy cog": 0x4e63d2ad} {
+		for _, shards := range []int{1, 2, 5, 8, 64} {
+			p := query.Placement{Shards: shards}
+			slots := int64(p.Slots())
+			slot := (int64(int32(hash))%slots + slots) % slots
+			require.EqualValues(t, slot/(slots/int64(shards)), p.Block(text), text)
+		}
+	}
+	require.Equal(t, 1024, query.Placement{Shards: 1}.Slots())
+	require.Equal(t, 640, query.Placement{Shards: 5}.Slots())
+	require.False(t, query.Placement{Shards: 5, RoutingShards: 8}.Check())
+	hit := func(more string) []byte {
+		return []byte(`{"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"hits":[{"_index":"i","_id":"hello"` + more + `}]}}`)
+	}
+	p := &query.Placement{Shards: 2, RoutingShards: 2}
+	own, other := p.Block("hello"), p.Block("hello w")
+	require.NotEqual(t, own, other, "the test wants two texts of two blocks")
+	require.NoError(t, query.CheckAnswer("i", p, own, hit("")))
+	require.ErrorIs(t, query.CheckAnswer("i", p, other, hit("")), query.ErrAnswer)
+	require.NoError(t, query.CheckAnswer("i", p, other, hit(`,"_routing":"hello w"`)))
+}
+
 // Pages by search_after, one after another, are all members once.
 func TestPages(t *testing.T) {
 	all := members(2, 150)
