--- a/lab/cost.go
+++ b/lab/cost.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"runtime/pprof"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,7 @@
 	clockTicks   = 100 // a second, of the system's CPU times
 	nodeInstance = "CHALKLAB_PEER"
 	nodeFront    = "CHALKLAB_FRONT"
+	nodeProfile  = "CHALKLAB_PROFILE" // a file for the CPU profile; that of allocations is beside it
 )
 
 // process is a co-ordinator in a process of its own, so that its memory and CPU time are its own.
@@ -129,6 +131,13 @@
 	if front.Listener, err = net.Listen("tcp", os.Getenv(nodeFront)); err != nil {
 		return err
 	}
+	if path := os.Getenv(nodeProfile); path != "" { // for those who look where a search's time goes
+		stop, err := profile(path)
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
 	go func() { // each line asked for is the count of allocations so far
 		for in := bufio.NewScanner(os.Stdin); in.Scan(); {
 			var m runtime.MemStats
@@ -141,6 +150,24 @@
 		Clock: coordinator.SystemClock{}, Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Peers: more})
 }
 
+func profile(path string) (stop func(), err error) {
+	cpu, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(cpu); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		cpu.Close()
+		if heap, err := os.Create(path + ".allocs"); err == nil {
+			pprof.Lookup("allocs").WriteTo(heap, 0)
+			heap.Close()
+		}
+	}, nil
+}
+
 func (p *process) end() error {
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	return p.cmd.Wait()
--- /dev/null
+++ b/logic/cost_test.go
@@ -0,0 +1,119 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// bench is a protocol that keeps no more than what is out.
+type bench struct {
+	sent  []uint64 // parts with a sub-request out, the first of each
+	ended map[uint64]bool
+}
+
+func (b *bench) Send(part uint64, _ string, _ int64) { b.sent = append(b.sent, part) }
+func (b *bench) Cancel(uint64, int)                  {}
+func (b *bench) Answer(search uint64, _ bool)        { b.ended[search] = true }
+func (b *bench) Shed(search uint64, _ int64)         { b.ended[search] = true }
+func (b *bench) Error(search uint64)                 { b.ended[search] = true }
+func (b *bench) Wake(int64, uint64)                  {}
+func (b *bench) Unwake(uint64)                       {}
+func (b *bench) Probe(string)                        {}
+func (b *bench) Watch()                              {}
+func (b *bench) Note(string)                         {}
+
+func module(replicas int) (*bench, *coordinator) {
+	b := &bench{ended: map[uint64]bool{}}
+	c := New(b).(*coordinator)
+	facts := map[string]string{"Tick": "5", "Balancers": "1", "Specifics.Sets": "8", "Specifics.Reach": "2",
+		"Specifics.PerCall": "1", "Classes.0.Aim": "3000", "Classes.0.Effect": "retryable", "Classes.1.Aim": "60000",
+		"Classes.1.Effect": "retryable", "Specifics.NeedByClass": "0.75,1", "Specifics.ClassFloor": "0.75,1",
+		"Specifics.FollowUp": "0,0", "Permissions.MaxAttempts": "3", "Permissions.SecondCopies": "true",
+		"Permissions.Cancelling": "true", "Safety.Cold": "10000"}
+	c.Clock(10)
+	c.Start(1, facts)
+	for i := range replicas {
+		c.Entry(fmt.Sprint("r", i), 0, 0, i%8, "healthy", 1, 0)
+	}
+	c.ListDone("Persisted", 1)
+	c.EndOfBatch()
+	return b, c
+}
+
+// one plays a search of eight parts from its arrival to its answer.
+func (b *bench) one(c *coordinator, id uint64, qtype int) {
+	c.Clock(c.now + 10)
+	c.Search(id, qtype, 0, "", 30_000, id, 8, false)
+	for p := range uint64(8) {
+		c.Part(id<<4|p, id, int(p), 0.125)
+	}
+	c.EndOfBatch()
+	b.land(c)
+	delete(b.ended, id)
+}
+
+// land answers all that is out, a part a turn.
+func (b *bench) land(c *coordinator) {
+	sent := b.sent
+	b.sent = b.sent[:0]
+	for _, p := range sent {
+		c.Clock(c.now + 3)
+		c.Outcome(p, 0, "Ok", 25, false, nil)
+		c.EndOfBatch()
+	}
+}
+
+// What a search costs in the module, on few hosts and on many.
+func BenchmarkReplicas(b *testing.B) {
+	for _, n := range []int{16, 100, 1_000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, c := module(n)
+			for i := range 200 {
+				p.one(c, uint64(i+1), i%2)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				p.one(c, uint64(i+1000), i%2)
+			}
+		})
+	}
+}
+
+// What a turn with one answer costs while so many searches wait.
+func BenchmarkWaiting(b *testing.B) {
+	for _, n := range []int{0, 100, 1_000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, c := module(16)
+			for i := range 200 {
+				p.one(c, uint64(i+1), i%2)
+			}
+			id := uint64(1000)
+			more := func() {
+				id++
+				c.Search(id, 1, 0, "", 600_000, id, 8, false)
+				for part := range uint64(8) {
+					c.Part(id<<4|part, id, int(part), 0.125)
+				}
+			}
+			for range n + 8 {
+				more()
+			}
+			c.EndOfBatch()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				c.Clock(c.now + 1)
+				if len(p.sent) > 0 {
+					part := p.sent[0]
+					p.sent = p.sent[1:]
+					c.Outcome(part, 0, "Ok", 25, false, nil)
+				}
+				for len(c.queue) < n {
+					more()
+				}
+				c.EndOfBatch()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/logic/know.go
@@ -0,0 +1,54 @@
+package logic
+
+import "math"
+
+// Know hands out what own sub-requests have shown: the fleet and zones first, then so many replicas a call,
+// those with nothing to tell left out. What was heard is not in it: a rumour would go round and count twice.
+func (c *coordinator) Know(from, most int, tell func(b Belief)) (next int) {
+	if from == 0 {
+		n, _ := c.pace.read(c.now, fleetSpan)
+		tell(Belief{Of: OfFleet, Short: Tally{n, math.Log(c.common())}, Long: Tally{n, math.Log(max(1, c.best))}})
+		for zone := range c.ways {
+			tell(Belief{Of: OfZone, Zone: zone, Short: c.ways[zone].pace.tally(c.now, paceSpan)})
+		}
+	}
+	to := min(len(c.list), max(from, from+most))
+	for _, r := range c.list[min(from, to):to] {
+		if r.answered != 0 || r.quiet != 0 || r.refused != 0 || r.strikes != 0 {
+			tell(r.belief(c.now, c.suspect(r)))
+		}
+	}
+	return to % max(1, len(c.list))
+}
+
+// holders are the replicas that hold a shard and may be used.
+func (c *coordinator) holders(shard int) []*replica {
+	first := shard % c.sets
+	if _, known := c.holding[first]; !known {
+		c.holding[first] = nil
+		for _, r := range c.list {
+			if r.open && (r.cell-first+c.sets)%c.sets < c.reach {
+				c.holding[first] = append(c.holding[first], r)
+			}
+		}
+	}
+	return c.holding[first]
+}
+
+// count notes one now for the budget, where one is stated: elsewhere nothing would ever take it away.
+func (c *coordinator) count(at *[]int64) {
+	if c.facts.span("Safety.LookBack") > 0 {
+		*at = append(*at, c.now)
+	}
+}
+
+func (c *coordinator) Outcome(part uint64, leg int, ending string, wait int64, over bool,
+	report map[string]float64) {
+	key := part<<8 | uint64(leg)
+	if t := c.next[key]; t != nil {
+		delete(c.next, key)
+		c.landed(t, ending, wait, int64(report["RetryAfter"]*10))
+	}
+}
+
+func (c *coordinator) ProbeResult(string, string, int64, map[string]float64) {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,11 @@
 	trialEach   = 3_000  // least wait between trials of any: among hundreds down each part would be one
 	trialWait   = 10_000 // wait before a suspect gets a trial part: a second is a short outage
 
+	manyHolders = 64    // holders of a shard beyond which a few drawn ones are looked at first: bounds a turn
+	lookFirst   = 16    // so many of them: that none of 16 is idle where half are is one in 65,000
+	trimMany    = 1_000 // searches waiting beyond which they are not looked at in each turn: 6 us a look
+	trimEach    = 10    // but after this time: a ms is no delay to a client
+
 	copyRatio  = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
 	aloneRatio = 2     // times that age: a part's time-out where no copy may run beside it
 	copyLeast  = 1_500 // shortest such age: under it a copy costs more than it brings
@@ -70,48 +75,22 @@
 
 func New(out Out) Coordinator {
 	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
-		numbers: map[uint64]*search{}, next: map[uint64]pending{}, wakes: map[uint64]func(){},
-		holding: map[int][]*replica{}, full: map[int]bool{}, flying: map[*try]bool{},
+		numbers: map[uint64]*search{}, next: map[uint64]*try{}, wakes: map[uint64]woken{},
+		holding: map[int][]*replica{}, full: map[int]bool{},
 		askWait: askFirst, limit: math.Inf(1), firstUsual: firstPace}
 }
 
 func (c *coordinator) Clock(now int64) { c.now = now; clear(c.full) }
 
 func (c *coordinator) Start(seed int64, settings map[string]string) {
-	c.facts, c.chance = siteFacts{settings, map[string]float64{}}, rand.New(rand.NewSource(seed))
-	c.facts.num("Specifics.Sets")
-	c.facts.num("Specifics.Reach")
+	c.facts, c.chance = newFacts(settings), rand.New(rand.NewSource(seed))
+	c.sets, c.reach = int(c.facts.num("Specifics.Sets")), int(c.facts.num("Specifics.Reach"))
 	c.tenants = make([]bucket, int(c.facts.opt("Tenants.count", 0)))
 	if c.facts.text["Discovery"] == "subscribe" {
 		c.out.Watch()
 	}
 }
 
-func (c *coordinator) after(wait int64, do func()) uint64 {
-	c.label++
-	c.wakes[c.label] = do
-	c.out.Wake(max(wait, 1), c.label)
-	return c.label
-}
-
-// unwake takes a wake back. Guards against memory that follows rate times client timeout: a wake holds its
-// search with all values that are in.
-func (c *coordinator) unwake(label uint64) {
-	if c.wakes[label] != nil {
-		delete(c.wakes, label)
-		c.out.Unwake(label)
-	}
-}
-
-func (c *coordinator) Timer(label uint64) {
-	if do := c.wakes[label]; do != nil {
-		delete(c.wakes, label)
-		do()
-	}
-}
-
-func (c *coordinator) effect(s *search) string { return c.facts.text[of("Classes", s.qtype, "Effect")] }
-
 func (c *coordinator) maxTries() int { return int(c.facts.opt("Permissions.MaxAttempts", 1)) }
 
 func (c *coordinator) Entry(id string, zone, kind, cell int, status string, units float64, since int64) {
@@ -125,6 +104,7 @@
 		} else if since > r.since {
 			r.since, r.pace, r.past, r.quiet, r.strikes, r.refused = since, sum{}, sum{}, 0, 0, 0
 			r.short, r.long, r.doubtTo = hearsay{}, hearsay{}, 0
+			c.flights.stir(r)
 			r.credit, r.creditAt = c.chance.Float64(), c.now
 		}
 		r.cell, r.zone, r.open = cell, zone, status == "healthy"
@@ -141,7 +121,7 @@
 		// Guards against a list service that fails: asked again with growing waits, within the rule's time.
 		wait := min(c.askWait, int64(c.facts.opt("Safety.AskWithin", askMost)*5)) // half of it
 		c.askWait = min(2*c.askWait, askMost)
-		c.after(wait+c.chance.Int63n(wait/4+1), c.out.Watch)
+		c.after(wait+c.chance.Int63n(wait/4+1), doing(c.out.Watch))
 		return
 	}
 	c.askWait = askFirst
@@ -156,30 +136,16 @@
 		c.fleet[r.id] = r
 	}
 	c.listed = len(c.list)
-	c.stirs++
-}
-
-// holders are the replicas that hold a shard and may be used.
-func (c *coordinator) holders(shard int) []*replica {
-	sets, reach := int(c.facts.num("Specifics.Sets")), int(c.facts.num("Specifics.Reach"))
-	first := shard % sets
-	if _, known := c.holding[first]; !known {
-		c.holding[first] = nil
-		for _, r := range c.list {
-			if r.open && (r.cell-first+sets)%sets < reach {
-				c.holding[first] = append(c.holding[first], r)
-			}
-		}
-	}
-	return c.holding[first]
+	c.flights.quiets = c.listed
 }
 
 func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
 	retry bool) {
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
-	s := &search{id: id, number: number, qtype: qtype, came: c.now, step: 1}
+	s := &search{id: id, number: number, qtype: qtype, came: c.now, step: 1, slab: make([]part, 0, count)}
+	s.effect, s.parts = c.facts.text[c.facts.of("Classes", qtype, "Effect")], make([]*part, 0, count)
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
-	useful := int64(c.facts.num(of("Classes", qtype, "Aim")) * 10)
+	useful := int64(c.facts.num(c.facts.of("Classes", qtype, "Aim")) * 10)
 	if retry {
 		useful = int64(float64(useful) * retryLeft) // the client has waited since its first try
 	}
@@ -190,8 +156,8 @@
 	c.count(&c.taken)
 	s.beyond = !retry && c.beyond(tenant)
 	c.queue = append(c.queue, s)
-	s.dueWake = c.after(s.due-c.now, func() { c.giveUp(s) })
-	s.usefulWake = c.after(s.useful-c.now, func() { c.pastUse(s) })
+	s.dueWake = c.after(s.due-c.now, (*atDue)(s))
+	s.usefulWake = c.after(s.useful-c.now, (*atUse)(s))
 }
 
 func (c *coordinator) Part(id, number uint64, shard int, weight float64) {
@@ -200,7 +166,8 @@
 	if s == nil || s.over {
 		return
 	}
-	p := &part{id: id, s: s, shard: shard, weight: weight}
+	p := s.part()
+	p.id, p.s, p.shard, p.weight = id, s, shard, weight
 	s.parts = append(s.parts, p)
 	s.most += weight
 	if s.step == 2 {
@@ -214,30 +181,32 @@
 	}
 }
 
-func (c *coordinator) ProbeResult(string, string, int64, map[string]float64) {}
-
 // Leaving the queue.
 
 func (c *coordinator) EndOfBatch() {
 	for i := 0; c.sendWaiting() && i < len(c.queue) && !c.busy(); {
 		s := c.queue[i]
-		switch {
+		switch late := c.lateness(); {
 		case s.over:
 		case c.blocked(s):
 			i++
 			c.parked = true
 			continue
-		case (s.came < c.now || c.ease() < strain) && c.late(s, 0):
+		case (s.came < c.now || c.ease() < strain) && late(s, 0):
 			c.shed(s)
 		default:
 			c.open(s)
 		}
-		c.queue = slices.Delete(c.queue, i, i+1)
+		if i == 0 { // the usual case moves nothing
+			c.queue[0], c.queue = nil, c.queue[1:]
+		} else {
+			c.queue = slices.Delete(c.queue, i, i+1)
+		}
 	}
 	c.trim()
 	if c.parked {
 		c.parked = false
-		c.after(parkLook, func() {})
+		c.after(parkLook, doing(func() {}))
 	}
 }
 
@@ -245,52 +214,46 @@
 func (c *coordinator) blocked(s *search) bool {
 	can := 0.0
 	for _, p := range s.parts {
-		if c.pick(p) != nil {
+		if c.can(p) {
 			can += p.weight
 		}
 	}
 	return can < s.need-1e-4
 }
 
-// inFlight counts own parts out but silent ones (the limit is read once): silence must not stop the others.
-// The count is kept until time, a part out or what is known of a replica moves.
-func (c *coordinator) inFlight() int {
-	if c.flightAt == c.now && c.flightStirs == c.stirs {
-		return c.flight
-	}
-	n, limit := 0, c.silence()
-	for t := range c.flying {
-		if float64(c.now-t.sent) <= limit && !c.suspect(t.r) {
-			n++
-		}
-	}
-	c.flight, c.flightAt, c.flightStirs = n, c.now, c.stirs
-	return n
-}
+// inFlight counts own parts out but silent ones and those at suspects: silence must not stop the others.
+func (c *coordinator) inFlight() int { return c.flights.count(c.now, c.silence(), c.suspect) }
 
-func (c *coordinator) busy() bool { return len(c.flying) >= c.slots() && c.inFlight() >= c.slots() }
+func (c *coordinator) busy() bool {
+	slots := c.slots()
+	return c.flights.flying >= slots && c.inFlight() >= slots
+}
 
 // open lets a search leave the queue: the needed parts and the extras that the backlog grants.
 func (c *coordinator) open(s *search) {
 	s.left = c.now
-	order, ease := slices.Clone(s.parts), map[*part]float64{}
-	for _, p := range order { // those that can go now come first, then the heavier, ties by chance
-		if ease[p] = p.weight + 1e-9*c.chance.Float64(); c.pick(p) != nil {
-			ease[p]++
+	order := c.order[:0]
+	for _, p := range s.parts { // those that can go now come first, then the heavier, ties by chance
+		o := ordered{p, p.weight + 1e-9*c.chance.Float64()}
+		if c.can(p) {
+			o.ease++
 		}
+		order = append(order, o)
 	}
-	slices.SortFunc(order, func(p, q *part) int { return cmp.Compare(ease[q], ease[p]) })
+	slices.SortFunc(order, func(p, q ordered) int { return cmp.Compare(q.ease, p.ease) })
 	have, n := 0.0, 0
 	for n < len(order) && have < s.need-1e-4 {
 		have += order[n].weight
 		n++
 	}
 	extras := max(0, len(order)-n-int(c.backlog)) // all that remain while the backlog is under 1
-	for i, p := range order[:n+extras] {
-		if i < n || ease[p] > 1 { // an extra that would have to wait takes room from parts that are needed
-			c.ask(p)
+	for i, o := range order[:n+extras] {
+		if i < n || o.ease > 1 { // an extra that would have to wait takes room from parts that are needed
+			c.ask(o.part)
 		}
 	}
+	clear(order)
+	c.order = order
 }
 
 func (c *coordinator) ask(p *part) {
@@ -351,41 +314,92 @@
 	n, total := c.pace.read(c.now, fleetSpan)
 	if c.usualAt != c.now || c.usualN != n {
 		c.usual, c.usualAt, c.usualN = math.Exp((total+math.Log(c.firstUsual))/(n+1)), c.now, n
+		c.usualLog = math.Log(c.usual)
 	}
 	return c.usual
 }
 
 func (c *coordinator) shortest() float64 {
 	now := c.common()
-	n, _ := c.pace.read(c.now, fleetSpan)
-	if n < fewAnswers {
+	if c.usualN < fewAnswers {
 		return now
 	}
+	if c.bestAt == c.now && c.bestOf == now {
+		return c.best
+	}
 	if c.best *= math.Exp(min(1, float64(c.now-c.bestAt)*bestCreep)); c.best == 0 || now < c.best {
 		c.best = now
 	}
-	c.bestAt = c.now
+	c.bestAt, c.bestOf = c.now, now
 	return c.best
 }
 
+// able tells whether a replica may take a part now, sound or not.
+func (c *coordinator) able(r *replica, p *part) bool {
+	out := func(t *try) bool { return t.r == r && !t.settled }
+	return c.room(r) && c.coldRoom(r) && !slices.ContainsFunc(p.tries, out)
+}
+
+// can tells whether some replica may take a part now, without drawing which.
+func (c *coordinator) can(p *part) bool {
+	if c.full[p.shard] || float64(p.s.due-c.now) < c.best { // no answer could come: nothing crosses a final one
+		return false
+	}
+	sound, trial, other := false, false, false
+	for _, r := range c.holders(p.shard) {
+		bad := c.suspect(r)
+		sound = sound || !bad
+		if able := c.able(r, p); able && !bad {
+			return true
+		} else if able {
+			other, trial = true, trial || c.trial(r, p)
+		}
+	}
+	can := trial || other && !sound
+	c.full[p.shard] = !can && len(p.tries) == 0 // for this turn: bounds its time with thousands of searches
+	return can
+}
+
+// trial tells whether a suspect, or one said to be bad, may take a part beside sound ones: it may have
+// healed.
+func (c *coordinator) trial(r *replica, p *part) bool {
+	return c.now >= max(r.trialAt, c.trialAt) && len(p.tries) == 0 && p.s.effect == "retryable" &&
+		(c.suspect(r) || p.s.need < p.s.most-1e-4)
+}
+
 // pick chooses a part's replica: fewest own calls out, one not tried yet if there is; ties by chance, or by
-// past answers where evidence is thin.
+// past answers where evidence is thin. Of many holders a few drawn ones are looked at first: an idle one
+// among them has the fewest, and is as good as any.
 func (c *coordinator) pick(p *part) *replica {
-	if c.full[p.shard] || float64(p.s.due-c.now) < c.best { // no answer could come: nothing crosses a final one
+	if c.full[p.shard] || float64(p.s.due-c.now) < c.best {
 		return nil
 	}
-	var best *replica
-	least, ties, sound := math.Inf(1), 0, false
-	for _, r := range c.holders(p.shard) {
+	all := c.holders(p.shard)
+	if n := len(all); n > manyHolders {
+		from := c.chance.Intn(n - lookFirst)
+		if r, load := c.choose(p, all[from:from+lookFirst]); load < 1 && load >= 0 {
+			return r
+		}
+	}
+	r, _ := c.choose(p, all)
+	if r == nil && len(p.tries) == 0 {
+		c.full[p.shard] = true
+	}
+	return r
+}
+
+// choose picks among some of a shard's holders, with how much that one has out.
+func (c *coordinator) choose(p *part, all []*replica) (best *replica, least float64) {
+	least = math.Inf(1)
+	ties, sound, thin := 0, false, c.thin()
+	for _, r := range all {
 		bad, doubt := c.suspect(r), c.doubted(r)
 		sound = sound || !bad
-		out := func(t *try) bool { return t.r == r && !t.settled }
-		if !c.room(r) || !c.coldRoom(r) || slices.ContainsFunc(p.tries, out) ||
-			c.now < c.doubtsTo && !c.warm(r) && c.spared(p.shard) {
+		if !c.able(r, p) || c.now < c.doubtsTo && !c.warm(r) && c.spared(p.shard) {
 			continue
 		}
 		load := float64(r.calls)
-		if c.thin() {
+		if thin {
 			load += 1 - 1/(1+c.habit(r)*(1+tieChance*c.chance.Float64()))
 		}
 		if bad || doubt {
@@ -395,8 +409,7 @@
 			if load += 1e5; bad {
 				load += 1e6
 			}
-			if c.now >= max(r.trialAt, c.trialAt) && len(p.tries) == 0 && c.effect(p.s) == "retryable" &&
-				(bad || p.s.need < p.s.most-1e-4) {
+			if c.trial(r, p) {
 				load = -1
 			}
 		} else if c.away(r.zone) && (c.now < c.ways[r.zone].trialAt || p.s.need >= p.s.most-1e-4) {
@@ -417,21 +430,18 @@
 	if sound && least >= 1e6 {
 		best = nil
 	}
-	if best == nil && len(p.tries) == 0 {
-		c.full[p.shard] = true // for this turn: bounds the time of a turn with thousands of searches
-	}
-	return best
+	return best, least
 }
 
 // room guards against piling up on the one sound holder of a shard: a replica's own part of the slots
 // shrinks with its answers as the cap does with all answers. Parts beyond it stand aside, as do searches that
 // need them. With all its parts silent one more may go: it shows whether it is slow or a connection was lost.
 func (c *coordinator) room(r *replica) bool {
-	share := min(1, slackRatio*c.shortest()/(c.common()*c.slowness(r)))
-	n := len(r.tries)
-	if c.doubted(r) {
+	best, n := c.shortest(), len(r.tries)
+	if n == 0 || c.doubted(r) {
 		return n == 0
 	}
+	share := min(1, slackRatio*best/(c.common()*c.slowness(r)))
 	return float64(n) < max(1, oneReplica*slotsPerReplica*share) ||
 		float64(c.now-r.tries[n-1].sent) > c.silence()
 }
@@ -445,14 +455,16 @@
 // habit is a replica's answer time over the fleet's, in a longer memory.
 func (c *coordinator) habit(r *replica) float64 {
 	n, total := r.past.read(c.now, pastSpan)
+	c.common()
 	more, slower := c.heard(r.long, pastSpan, n)
-	return math.Exp((total - n*math.Log(c.common()) + slower) / (n + more + 1))
+	return math.Exp((total - n*c.usualLog + slower) / (n + more + 1))
 }
 
 // slowness is a replica's answer time over the fleet's, parts that are still out counted by their age.
 func (c *coordinator) slowness(r *replica) float64 {
 	n, total := r.pace.read(c.now, paceSpan)
-	common := math.Log(c.common())
+	c.common()
+	common := c.usualLog
 	more, slower := c.heard(r.short, paceSpan, n)
 	for _, t := range r.tries {
 		if age := math.Log(float64(max(1, c.now-t.sent))); age > common {
@@ -466,11 +478,15 @@
 // than the quickest zone's. One replica shows too little, and it is not its fault: such replicas are no
 // suspects, they come after the others. Harm: a zone slow from own load alone is spared by crossing.
 func (c *coordinator) away(zone int) bool {
+	if len(c.ways) < 2 {
+		return false
+	}
 	own, least := 0.0, math.Inf(1)
+	c.common()
 	for i := range c.ways {
 		n, total := c.ways[i].pace.read(c.now, paceSpan)
 		more, slower := c.heard(c.ways[i].heard, paceSpan, n)
-		mean := (total + slower + (more+priorParts)*math.Log(c.common())) / (n + more + priorParts)
+		mean := (total + slower + (more+priorParts)*c.usualLog) / (n + more + priorParts)
 		if least = min(least, mean); i == zone {
 			own = mean
 		}
@@ -513,33 +529,26 @@
 	return r.credit >= 1
 }
 
-// count notes one now for the budget, where one is stated: elsewhere nothing would ever take it away.
-func (c *coordinator) count(at *[]int64) {
-	if c.facts.span("Safety.LookBack") > 0 {
-		*at = append(*at, c.now)
-	}
-}
-
 // mayTry holds the rules on sending a part: how often, when a repeat is harmless, and the stated budget.
 func (c *coordinator) mayTry(p *part) bool {
 	span := c.facts.span("Safety.LookBack")
 	if len(p.tries) == 0 || span == 0 {
 		return len(p.tries) == 0 || c.mayRepeat(p)
 	}
-	c.taken = slices.DeleteFunc(c.taken, func(at int64) bool { return at < c.now-span+windowPad })
-	c.further = slices.DeleteFunc(c.further, func(at int64) bool { return at < c.now-span-windowPad })
+	c.taken, c.further = since(c.taken, c.now-span+windowPad), since(c.further, c.now-span-windowPad)
 	room := c.facts.opt("Safety.ExtraFloor", 0) + c.facts.opt("Safety.FurtherRatio", 0)*float64(len(c.taken))
 	return c.mayRepeat(p) && float64(len(c.further)+1) <= room
 }
 
 // mayRepeat tells whether a further sub-request is allowed and harmless.
 func (c *coordinator) mayRepeat(p *part) bool {
-	effect, more := c.effect(p.s), len(p.tries) < c.maxTries()
+	effect, more := p.s.effect, len(p.tries) < c.maxTries()
 	for _, t := range p.tries {
 		if !t.maybe && t.settled || effect == "retryable" {
 			continue
 		}
-		if effect != "dedup" || c.now-t.sent > c.facts.span(of("Classes", p.s.qtype, "RepeatWindow"))-windowPad {
+		window := c.facts.span(c.facts.of("Classes", p.s.qtype, "RepeatWindow"))
+		if effect != "dedup" || c.now-t.sent > window-windowPad {
 			return false
 		}
 	}
@@ -547,7 +556,8 @@
 }
 
 func (c *coordinator) send(p *part, r *replica) {
-	t := &try{p: p, r: r, leg: len(p.tries), sent: c.now, out: true}
+	t := p.try()
+	t.p, t.r, t.leg, t.sent, t.out = p, r, len(p.tries), c.now, true
 	if t.leg > 0 {
 		c.count(&c.further)
 		p.s.copies++
@@ -559,7 +569,7 @@
 	}
 	r.credit--
 	if r.turnAt != c.now || r.turn == nil || r.turn.parts >= int(c.facts.opt("Specifics.PerCall", 1)) {
-		r.turn, r.turnAt = &call{}, c.now
+		r.turn, r.turnAt = &t.own, c.now
 		r.calls++
 	}
 	t.c = r.turn
@@ -570,16 +580,15 @@
 	}
 	r.quiet++
 	p.tries, r.tries = append(p.tries, t), append(r.tries, t)
-	c.flying[t] = true
-	c.stirs++
+	c.flights.sent(t)
 	patience := p.s.due - c.now + answerPad
 	if c.facts.yes("Permissions.SecondCopies") {
-		t.wake = c.after(c.overdueAfter(), func() { c.overdue(t) })
-	} else if len(p.tries) < c.maxTries() && c.effect(p.s) != "fragile" {
+		t.wake = c.after(c.overdueAfter(), (*atOverdue)(t))
+	} else if len(p.tries) < c.maxTries() && p.s.effect != "fragile" {
 		patience = min(patience, aloneRatio*c.overdueAfter())
 	}
 	c.out.Send(p.id, r.id, patience)
-	c.next[p.id<<8|uint64(t.leg)] = func(ending string, wait, again int64) { c.landed(t, ending, wait, again) }
+	c.next[p.id<<8|uint64(t.leg)] = t
 }
 
 func (c *coordinator) overdueAfter() int64 { return int64(max(copyLeast, copyRatio*c.common())) }
@@ -596,7 +605,7 @@
 	lacking, heavy := c.short(p.s)
 	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !lacking ||
 		!c.suspect(t.r) && (len(c.queue) > 0 && !c.silent(t) || heavy) {
-		t.wake = c.after(copyAgain, func() { c.overdue(t) })
+		t.wake = c.after(copyAgain, (*atOverdue)(t))
 		return
 	}
 	c.send(p, r)
@@ -621,23 +630,12 @@
 	return have < s.need-1e-4, max(long, float64(s.copies+1)) > math.Ceil(copyParts*sent)
 }
 
-func (c *coordinator) Outcome(part uint64, leg int, ending string, wait int64, over bool,
-	report map[string]float64) {
-	key := part<<8 | uint64(leg)
-	if then := c.next[key]; then != nil {
-		delete(c.next, key)
-		then(ending, wait, int64(report["RetryAfter"]*10))
-	}
-}
-
 func (c *coordinator) release(t *try) {
 	if !t.out {
 		return
 	}
-	t.out = false
-	c.stirs++
+	c.flights.landed(t)
 	c.unwake(t.wake)
-	delete(c.flying, t)
 	if t.c.out--; t.c.out == 0 {
 		t.r.calls--
 	}
@@ -647,7 +645,7 @@
 // landed is what every sub-request leaves behind for its outcome.
 func (c *coordinator) landed(t *try, ending string, wait, again int64) {
 	c.release(t)
-	c.stirs++
+	c.flights.stir(t.r)
 	t.settled = true
 	p, r, s := t.p, t.r, t.p.s
 	pace := math.Log(float64(max(1, wait)))
@@ -658,20 +656,22 @@
 		}
 		t.maybe, r.strikes, r.refused, r.doubtTo, r.restTo, r.answered = true, 0, 0, 0, 0, c.now
 		r.quiet, r.quietSince = len(r.tries), c.now
+		c.flights.heard(r)
 		r.took(c.now, pace)
 		c.ways[r.zone].pace.add(c.now, paceSpan, pace)
 		c.pace.add(c.now, fleetSpan, pace)
 		c.follow()
 		c.done.add(c.now, rateSpan, 1)
 		if !p.in && !p.dead && !s.over {
+			first := !s.sound
 			p.in, s.sound = true, true
 			s.in += p.weight
 			for _, o := range p.tries {
 				c.cancel(o)
 			}
 			c.check(s)
-			for _, o := range s.parts {
-				c.missed(o)
+			for i := 0; first && i < len(s.parts); i++ { // any later one has left none to wait for it
+				c.missed(s.parts[i])
 			}
 		}
 		return
@@ -682,6 +682,7 @@
 		}
 	case "Failed", "QueueFull":
 		t.maybe, r.restTo = ending == "Failed", max(r.restTo, c.now+min(restMost, again))
+		c.flights.until(r, r.restTo)
 		r.trialAt, r.strikes = max(r.trialAt, r.restTo), r.strikes+1
 	case "ConnectError":
 		r.refused++
@@ -776,7 +777,7 @@
 }
 
 func (c *coordinator) end(s *search) {
-	s.over = true
+	s.over, s.slab = true, nil
 	c.unwake(s.dueWake)
 	c.unwake(s.usefulWake)
 	c.drop(s)
@@ -801,13 +802,13 @@
 }
 
 func (c *coordinator) harmless(s *search) bool {
-	return c.effect(s) == "retryable" || s.step == 1 && !slices.ContainsFunc(s.parts, (*part).ran)
+	return s.effect == "retryable" || s.step == 1 && !slices.ContainsFunc(s.parts, (*part).ran)
 }
 
 func (c *coordinator) shed(s *search) {
 	advice := int64(0)
 	if c.facts.yes("Permissions.RetryAfter") {
-		advice = min(int64(c.wait(c.behind)), c.facts.span("Permissions.MaxRetryAfter"))
+		advice = min(int64(c.behind/c.speed()), c.facts.span("Permissions.MaxRetryAfter"))
 	}
 	c.out.Shed(s.id, advice)
 	c.end(s)
@@ -818,45 +819,55 @@
 func (c *coordinator) pastUse(s *search) {
 	if !s.over && c.enough(s, s.in) {
 		c.answer(s)
-	} else if !s.over && c.facts.opt(of("Classes", s.qtype, "LateShare"), 0) <= lateWorth {
+	} else if !s.over && c.facts.opt(c.facts.of("Classes", s.qtype, "LateShare"), 0) <= lateWorth {
 		c.giveUp(s)
 	}
 }
 
 // Shedding. It acts while searches wait for a slot, and on arrival while answers are slow.
 
-// wait is the time that so many parts take to be answered; while rates are young, by Little's law.
-func (c *coordinator) wait(ahead float64) float64 {
-	rate := max(c.done.rate(c.now, rateSpan, youngSpan), float64(c.inFlight())/c.common())
-	return ahead / max(rate, 1e-4)
+// speed is how many parts are answered in a tenth; while rates are young, by Little's law.
+func (c *coordinator) speed() float64 {
+	return max(c.done.rate(c.now, rateSpan, youngSpan), float64(c.inFlight())/c.common(), 1e-4)
 }
 
-// late tells whether a search with so many parts before it would be answered after its target.
-func (c *coordinator) late(s *search, ahead float64) bool {
+// lateness gives what tells whether a search with so many parts before it would be answered after its target.
+// It holds while no part is sent or lands: what a turn asks of each waiting search is worked out once.
+func (c *coordinator) lateness() func(s *search, ahead float64) bool {
 	n, total := c.spell.read(c.now, rateSpan)
-	return float64(c.now)+c.wait(ahead)+usefulPad*total/(n+1) > float64(s.useful)
+	now, speed, spell := float64(c.now), c.speed(), usefulPad*total/(n+1)
+	return func(s *search, ahead float64) bool { return now+ahead/speed+spell > float64(s.useful) }
 }
 
 // trim guards against overload: what cannot be answered in useful time is turned away while its client can
 // still ask again, beyond a tenant's share first. Harm: a wait judged too long sheds needlessly.
 func (c *coordinator) trim() {
-	ahead := len(c.waiting)
-	for _, s := range c.queue {
-		switch {
-		case s.over:
-		case s.beyond, c.late(s, float64(ahead)):
-			c.shed(s)
-		default:
-			ahead += len(s.parts)
+	if len(c.queue) > trimMany && c.now < c.trimmed+trimEach {
+		return
+	}
+	c.trimmed = c.now
+	ahead, over := len(c.waiting), 0
+	if len(c.queue) > 0 {
+		late := c.lateness()
+		for _, s := range c.queue {
+			if !s.over && (s.beyond || late(s, float64(ahead))) {
+				c.shed(s)
+			}
+			if s.over {
+				over++
+			} else {
+				ahead += len(s.parts)
+			}
 		}
 	}
-	c.behind = float64(ahead)
-	c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
+	if c.behind = float64(ahead); over > 0 {
+		c.queue = slices.DeleteFunc(c.queue, func(s *search) bool { return s.over })
+	}
 }
 
 // beyond takes one of a tenant's share, a bucket filled at this part of its rate; true where none was left.
 func (c *coordinator) beyond(tenant int) bool {
-	quota := c.facts.opt(of("Tenants", tenant, "QuotaPerS"), 0) / c.facts.num("Balancers") / 10_000
+	quota := c.facts.opt(c.facts.of("Tenants", tenant, "QuotaPerS"), 0) / c.facts.num("Balancers") / 10_000
 	if tenant >= len(c.tenants) || quota == 0 {
 		return false
 	}
@@ -870,31 +881,11 @@
 	return false
 }
 
-// Know hands out what own sub-requests have shown: the fleet and zones first, then so many replicas a call,
-// those with nothing to tell left out. What was heard is not in it: a rumour would go round and count twice.
-func (c *coordinator) Know(from, most int, tell func(b Belief)) (next int) {
-	if from == 0 {
-		n, _ := c.pace.read(c.now, fleetSpan)
-		tell(Belief{Of: OfFleet, Short: Tally{n, math.Log(c.common())}, Long: Tally{n, math.Log(max(1, c.best))}})
-		for zone := range c.ways {
-			tell(Belief{Of: OfZone, Zone: zone, Short: c.ways[zone].pace.tally(c.now, paceSpan)})
-		}
-	}
-	to := min(len(c.list), max(from, from+most))
-	for _, r := range c.list[min(from, to):to] {
-		if r.answered != 0 || r.quiet != 0 || r.refused != 0 || r.strikes != 0 {
-			tell(r.belief(c.now, c.suspect(r)))
-		}
-	}
-	return to % max(1, len(c.list))
-}
-
 // Hear takes a heard belief in, in the place of the one before. Guards against a start that knows nothing,
 // and against peers that are wrong: hearsay only takes from a replica, weighs heardMost answers at the most,
 // gives way to own ones, and fades. A replica said to be bad comes after the others, with one part at a time,
 // until it answers here: no peer can take it away.
 func (c *coordinator) Hear(h Heard) {
-	c.stirs++
 	take := func(t Tally) hearsay {
 		return hearsay{min(heardMost, t.N), max(0, min(math.Log(heardSlow), t.Mean)), c.now}
 	}
@@ -913,6 +904,7 @@
 			c.doubtsTo = max(c.doubtsTo, r.doubtTo)
 			r.trialAt = max(r.trialAt, c.now+c.chance.Int63n(trialWait)) // not all learners' trials at once
 		}
+		c.flights.until(r, r.doubtTo)
 	}
 }
 
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -40,6 +40,7 @@
 	lossy   map[string]uint64 // of so many searches one is not answered
 	legs    map[uint64]int
 	out     map[uint64]int
+	recount bool
 	ended   map[[2]uint64]bool
 	owner   map[uint64]uint64 // part to search
 	finals  map[uint64]int    // final answers still owed
@@ -51,7 +52,10 @@
 func (s *stage) act(format string, v ...any) {
 	s.acts, s.all = append(s.acts, fmt.Sprintf(format, v...)), append(s.all, fmt.Sprintf(format, v...))
 }
-func (s *stage) plan(wait int64, do func()) { s.later = append(s.later, due{s.now + wait, do}) }
+func (s *stage) plan(wait int64, do func()) {
+	i := sort.Search(len(s.later), func(i int) bool { return s.later[i].at > s.now+wait })
+	s.later = slices.Insert(s.later, i, due{s.now + wait, do})
+}
 func (s *stage) Cancel(part uint64, leg int) {
 	require.Equal(s.t, "true", s.facts["Permissions.Cancelling"])
 	s.act("cancel %d.%d", part, leg)
@@ -116,7 +120,6 @@
 // to plays what is due until then, one turn for each moment.
 func (s *stage) to(at int64) {
 	for {
-		sort.SliceStable(s.later, func(i, j int) bool { return s.later[i].at < s.later[j].at })
 		if len(s.later) == 0 || s.later[0].at > at {
 			s.now = at
 			return
@@ -136,6 +139,21 @@
 	s.c.Clock(s.now)
 	do()
 	s.c.EndOfBatch()
+	if s.recount {
+		s.recounted()
+	}
+}
+
+// recounted holds what is kept against a count of all. It reads what decays, which may move last digits.
+func (s *stage) recounted() {
+	c := s.c.(*coordinator)
+	n := 0 // what is kept, recounted
+	for _, t := range c.flights.out.list {
+		if t.out && float64(c.now-t.sent) <= c.silence() && !c.suspect(t.r) {
+			n++
+		}
+	}
+	require.Equal(s.t, n, c.inFlight())
 }
 
 func (s *stage) parts(search, first uint64, shards, weights string) {
@@ -236,9 +254,11 @@
 	return s
 }
 
-func begin(t *testing.T, text string) *stage {
+func begin(t *testing.T, text string) *stage { return beginWith(t, text, false) }
+
+func beginWith(t *testing.T, text string, recount bool) *stage {
 	s := &stage{t: t, facts: map[string]string{}, replies: map[string][]string{}, legs: map[uint64]int{},
-		lossy: map[string]uint64{}, out: map[uint64]int{}, ended: map[[2]uint64]bool{}, now: 10,
+		lossy: map[string]uint64{}, out: map[uint64]int{}, ended: map[[2]uint64]bool{}, now: 10, recount: recount,
 		owner: map[uint64]uint64{}, finals: map[uint64]int{}, steps: map[uint64]string{}}
 	s.c = New(s)
 	s.line(append([]string{"facts"}, strings.Fields(usualFacts)...))
@@ -263,7 +283,8 @@
 	require.Empty(t, c.held)
 	require.Empty(t, c.numbers)
 	require.Empty(t, c.next)
-	require.Empty(t, c.flying)
+	require.Zero(t, c.flights.flying)
+	require.LessOrEqual(t, len(c.flights.out.list), slack, "what has landed")
 	require.Empty(t, c.wakes)
 }
 
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -11,6 +11,20 @@
 type siteFacts struct {
 	text map[string]string
 	read map[string]float64 // numbers read before
+
+	names map[place]string // of facts of query types and tenants
+	lists map[place]float64
+}
+
+// place names a fact of a query type or tenant, or a place in a list.
+type place struct {
+	list  string
+	i     int
+	field string
+}
+
+func newFacts(text map[string]string) siteFacts {
+	return siteFacts{text, map[string]float64{}, map[place]string{}, map[place]float64{}}
 }
 
 func (f siteFacts) parse(name, text string) float64 {
@@ -27,6 +41,9 @@
 
 // num reads a number that is needed.
 func (f siteFacts) num(name string) float64 {
+	if v, ok := f.read[name]; ok {
+		return v
+	}
 	text, ok := f.text[name]
 	if !ok {
 		panic("setting " + name + " is missing")
@@ -36,6 +53,9 @@
 
 // opt reads a number that may be missing.
 func (f siteFacts) opt(name string, missing float64) float64 {
+	if v, ok := f.read[name]; ok {
+		return v
+	}
 	if text, ok := f.text[name]; ok {
 		return f.parse(name, text)
 	}
@@ -59,8 +79,7 @@
 
 // nth reads a place in a list of numbers; the list may be missing.
 func (f siteFacts) nth(name string, i int, missing float64) float64 {
-	key := name + "," + strconv.Itoa(i)
-	if v, ok := f.read[key]; ok {
+	if v, ok := f.lists[place{name, i, ""}]; ok {
 		return v
 	}
 	text, ok := f.text[name]
@@ -71,8 +90,18 @@
 	if i >= len(items) {
 		panic(fmt.Sprintf("setting %s has no place %d", name, i))
 	}
-	return f.parse(key, items[i])
+	v := f.parse(name+","+strconv.Itoa(i), items[i])
+	f.lists[place{name, i, ""}] = v
+	return v
 }
 
 // of names a fact of a query type or tenant.
-func of(list string, i int, field string) string { return list + "." + strconv.Itoa(i) + "." + field }
+func (f siteFacts) of(list string, i int, field string) string {
+	at := place{list, i, field}
+	name, ok := f.names[at]
+	if !ok {
+		name = list + "." + strconv.Itoa(i) + "." + field
+		f.names[at] = name
+	}
+	return name
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -6,52 +6,51 @@
 	"slices"
 )
 
-// pending is what a sub-request leaves behind for its outcome.
-type pending func(ending string, wait, again int64)
-
 // coordinator is what one co-ordinator holds.
 type coordinator struct {
-	out     Out
-	chance  *rand.Rand
-	facts   siteFacts
-	now     int64
-	fleet   map[string]*replica
-	list    []*replica         // the same, in the order of first sight
-	listed  int                // how many of them may be used
-	holding map[int][]*replica // holders of the shards from each set on, kept until the list changes
-	full    map[int]bool       // shards that no replica may take in this turn
-	flying  map[*try]bool      // own sub-requests out
-	fresh   []func(keep map[string]bool)
-	held    map[uint64]*search // by id
-	numbers map[uint64]*search
-	queue   []*search
-	waiting []*part
-	next    map[uint64]pending // what each sub-request's outcome is handed to, by part and leg
-	wakes   map[uint64]func()
-	label   uint64
-	backlog float64
-	behind  float64 // parts waiting at the end of the last turn
-	pace    sum     // logarithms of answer times
-	usual   float64 // common(), kept while neither the time nor the count usualN moves
-	usualN  float64
-	usualAt int64
-	best    float64
-	limit   float64
-	longest int // parts of the longest search seen
-	bestAt  int64
-	done    sum // answered parts
-	spell   sum // time of searches from leaving the queue to the answer
-	tenants []bucket
-	ways    []way   // by zone
-	taken   []int64 // searches and parts taken in the budget's window
-	further []int64 // further sub-requests in it
-	askWait int64
-	parked  bool
-	trialAt int64 // when the next trial part may go to any suspect
-
-	stirs               int // moves of what inFlight counts
-	flight, flightStirs int // inFlight's last count, and when it was made
-	flightAt            int64
+	out      Out
+	chance   *rand.Rand
+	facts    siteFacts
+	now      int64
+	fleet    map[string]*replica
+	list     []*replica         // the same, in the order of first sight
+	listed   int                // how many of them may be used
+	holding  map[int][]*replica // holders of the shards from each set on, kept until the list changes
+	full     map[int]bool       // shards that no replica may take in this turn
+	flights  flights            // own sub-requests out
+	order    []ordered          // room for open
+	fresh    []func(keep map[string]bool)
+	held     map[uint64]*search // by id
+	numbers  map[uint64]*search
+	queue    []*search
+	waiting  []*part
+	next     map[uint64]*try // what each sub-request's outcome is handed to, by part and leg
+	wakes    map[uint64]woken
+	label    uint64
+	backlog  float64
+	behind   float64 // parts waiting at the end of the last turn
+	pace     sum     // logarithms of answer times
+	usual    float64 // common(), kept while neither the time nor the count usualN moves
+	usualN   float64
+	usualAt  int64
+	usualLog float64
+	best     float64
+	bestOf   float64 // the common time that best was last held against
+	limit    float64
+	longest  int // parts of the longest search seen
+	bestAt   int64
+	done     sum // answered parts
+	spell    sum // time of searches from leaving the queue to the answer
+	tenants  []bucket
+	ways     []way   // by zone
+	taken    []int64 // searches and parts taken in the budget's window
+	further  []int64 // further sub-requests in it
+	askWait  int64
+	parked   bool
+	trimmed  int64 // when the queue was last looked at
+	trialAt  int64 // when the next trial part may go to any suspect
+
+	sets, reach int // of shards, as the site told at start
 
 	doubtsTo   int64   // some replica was said to be bad, until then
 	firstUsual float64 // answer time assumed before any is known
@@ -66,7 +65,9 @@
 	step           int
 	firstWhole     bool
 	over           bool
+	effect         string
 	parts          []*part
+	slab           []part  // room for parts that are still to come
 	in, need, most float64 // weight in, weight for a whole answer, weight that can still come
 	copies, lost   int     // further sub-requests sent; connections dropped under its parts
 	sound          bool    // one of its parts has answered
@@ -85,6 +86,39 @@
 	in     bool
 	dead   bool
 	tries  []*try
+
+	first try // room for the first sub-request, and for tries to name it
+	one   [1]*try
+}
+
+// part gives room for one more part.
+func (s *search) part() *part {
+	if len(s.slab) == cap(s.slab) {
+		s.slab = make([]part, 0, max(1, cap(s.slab)))
+	}
+	s.slab = s.slab[:len(s.slab)+1]
+	return &s.slab[len(s.slab)-1]
+}
+
+// try gives room for one more sub-request.
+func (p *part) try() *try {
+	if len(p.tries) > 0 {
+		return &try{}
+	}
+	p.tries = p.one[:0]
+	return &p.first
+}
+
+// ordered is a part with what it is sorted by.
+type ordered struct {
+	*part
+	ease float64
+}
+
+// since drops what is before a time from a list in order.
+func since(list []int64, at int64) []int64 {
+	i, _ := slices.BinarySearch(list, at)
+	return list[i:]
 }
 
 func (p *part) flies() bool {
@@ -108,7 +142,9 @@
 	out     bool // holds its slot
 	settled bool // its outcome is known
 	maybe   bool // it may have run
+	loud    bool // out, and not for longer than the silence that was last asked for
 	wake    uint64
+	own     call // room for c
 }
 
 // bucket is what a tenant has left of its share.
@@ -150,6 +186,12 @@
 	short, long hearsay // of pace and past
 	doubtTo     int64   // said to be bad, until then
 	restTo      int64   // it refused and named this time to come back
+
+	quietNoted int64 // the quietSince that flights knows
+	loud       int   // own sub-requests out that are not silent
+	timed      bool  // its suspicion ends at a time
+	barred     bool  // a suspect when last looked at
+	stirred    bool  // to be looked at again
 }
 
 func (r *replica) took(now int64, pace float64) {
