--- a/logic/logic.go
+++ b/logic/logic.go
@@ -340,13 +340,17 @@
 	return c.room(r) && c.coldRoom(r) && !slices.ContainsFunc(p.tries, out)
 }
 
-// can tells whether some replica may take a part now, without drawing which.
+// can tells whether some replica may take a part now; of many holders without a look at each.
 func (c *coordinator) can(p *part) bool {
+	all := c.holders(p.shard)
+	if len(all) <= manyHolders {
+		return c.pick(p) != nil
+	}
 	if c.full[p.shard] || float64(p.s.due-c.now) < c.best { // no answer could come: nothing crosses a final one
 		return false
 	}
 	sound, trial, other := false, false, false
-	for _, r := range c.holders(p.shard) {
+	for _, r := range all {
 		bad := c.suspect(r)
 		sound = sound || !bad
 		if able := c.able(r, p); able && !bad {
