--- /dev/null
+++ b/coordinator/bodies.go
@@ -0,0 +1,187 @@
+package coordinator
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"sync"
+	"unicode/utf8"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+const seenMost = 256 // blocks up to which those that were named are marked without room of their own
+
+// bodies are readers of requests' bodies, kept for the next.
+var bodies = sync.Pool{New: func() any { return &bodyReader{} }}
+
+// bodyReader reads one JSON text at a time. Names that are there twice count as the last, as the platform's own
+// programs take them.
+type bodyReader struct {
+	src bytes.Reader
+	d   jsontext.Decoder
+}
+
+func (b *bodyReader) reset(body []byte) {
+	b.src.Reset(body)
+	b.d.Reset(&b.src, jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
+}
+
+// read takes the parts and their text from a request's body.
+func (s *search) read(body []byte, shards int) error {
+	b := bodies.Get().(*bodyReader)
+	defer bodies.Put(b)
+	b.reset(body)
+	d := &b.d
+	if t, err := d.ReadToken(); err != nil || t.Kind() != '{' {
+		return refuse("body: not one JSON object")
+	}
+	text, named := "", false
+	most := bytes.Count(body, []byte{'{'})
+	s.shards, s.weights = make([]int, 0, most), make([]float64, 0, most)
+	for d.PeekKind() != '}' {
+		name, err := nameOf(d)
+		if err != nil {
+			return refuse("body: %v", err)
+		}
+		switch {
+		case name == "ranges" && d.PeekKind() == '[':
+			err = s.ranges(d, shards)
+		case name == "ranges":
+			s.shards, err = s.shards[:0], d.SkipValue()
+		case name == "predicate" && d.PeekKind() == '"':
+			var t jsontext.Token
+			if t, err = d.ReadToken(); err == nil {
+				text, named = t.String(), true
+			}
+		case name == "predicate":
+			named, err = false, d.SkipValue()
+		default:
+			err = d.SkipValue()
+		}
+		if err != nil {
+			return refuse("body: %v", err)
+		}
+	}
+	d.ReadToken()
+	if _, err := d.ReadToken(); err != io.EOF {
+		return refuse("body: not one JSON object")
+	}
+	if len(s.shards) == 0 || !named {
+		return refuse("body without ranges or predicate")
+	}
+	// Guards against text that reading has changed: replicas get it as it came or not at all.
+	if !utf8.Valid(body) || strings.ContainsRune(text, utf8.RuneError) && !bytes.ContainsRune(body, utf8.RuneError) {
+		return refuse("body is no text")
+	}
+	s.text = []byte(text)
+	sum := 0.0
+	for _, weight := range s.weights {
+		sum += weight
+	}
+	if math.Abs(sum-1) > weightSlack {
+		return refuse("portions add up to %g", sum)
+	}
+	return nil
+}
+
+// nameOf reads a name; those that count here need no room.
+func nameOf(d *jsontext.Decoder) (string, error) {
+	v, err := d.ReadValue()
+	switch string(v) {
+	case `"range"`:
+		return "range", nil
+	case `"portion"`:
+		return "portion", nil
+	case `"ranges"`:
+		return "ranges", nil
+	case `"predicate"`:
+		return "predicate", nil
+	}
+	if err != nil || v.Kind() != '"' {
+		return "", errors.Join(err, errors.New("no name"))
+	}
+	text, err := jsontext.AppendUnquote(nil, v)
+	return string(text), err
+}
+
+// ranges reads the list of parts, in the place of one that came before.
+func (s *search) ranges(d *jsontext.Decoder, shards int) error {
+	s.shards, s.weights = s.shards[:0], s.weights[:0]
+	var few [seenMost]bool
+	seen := few[:]
+	if shards > seenMost {
+		seen = make([]bool, shards)
+	}
+	d.ReadToken()
+	for d.PeekKind() == '{' {
+		shard, weight := math.NaN(), math.NaN()
+		d.ReadToken()
+		for d.PeekKind() == '"' {
+			name, err := nameOf(d)
+			if err != nil {
+				return err
+			}
+			into := (*float64)(nil)
+			switch name {
+			case "range":
+				into = &shard
+			case "portion":
+				into = &weight
+			}
+			if into == nil || d.PeekKind() != '0' {
+				if into != nil {
+					*into = math.NaN()
+				}
+				if err := d.SkipValue(); err != nil {
+					return err
+				}
+				continue
+			}
+			v, err := d.ReadToken()
+			if err != nil {
+				return err
+			}
+			if *into, err = v.Float(); err != nil {
+				return err
+			}
+		}
+		if _, err := d.ReadToken(); err != nil {
+			return err
+		}
+		n := int(shard)
+		if shard != math.Trunc(shard) || shard < 0 || shard >= float64(shards) || seen[n] {
+			return refuse("range %g", shard)
+		}
+		if !(weight > 0) || weight > 1+weightSlack {
+			return refuse("portion %g", weight)
+		}
+		seen[n] = true
+		s.shards, s.weights = append(s.shards, n), append(s.weights, weight)
+	}
+	if t, err := d.ReadToken(); err != nil {
+		return err
+	} else if t.Kind() != ']' {
+		return refuse("ranges are no objects")
+	}
+	return nil
+}
+
+// appendAnswer adds the body of an answer.
+func appendAnswer(dst []byte, r result) []byte {
+	dst = strconv.AppendBool(append(dst, `{"total":`...), r.whole)
+	dst = append(dst, `,"answers":[`...)
+	for i, p := range r.parts {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = strconv.AppendInt(append(dst, `{"range":`...), int64(p.shard), 10)
+		dst = append(dst, `,"blob":`...)
+		dst, _ = jsontext.AppendQuote(dst, p.value) // it is text: hear has seen to that
+		dst = append(dst, '}')
+	}
+	return append(dst, "]}"...)
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -1,10 +1,8 @@
 package coordinator
 
 import (
-	"bytes"
 	"container/list"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -15,7 +13,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"chalkring/internal/http1"
 )
@@ -268,12 +265,12 @@
 func (c *client) request(method, target string, head map[string]string, body []byte, keep bool,
 	came time.Time) error {
 	o := c.o
-	u, err := url.ParseRequestURI(target)
+	path, key, err := place(target)
 	if err != nil {
 		return refuse("target %.40q", target)
 	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(u.Path, "/"), "/")
-	if u.Path == "/healthz" {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	if path == "/healthz" {
 		if method != "GET" {
 			return refusal{405, "method of /healthz"}
 		}
@@ -298,7 +295,7 @@
 	case first != head["x-class"]:
 		return refuse("X-Class is not the path's")
 	}
-	s := &search{name: head["x-request-id"], key: u.Query().Get("k"), qtype: qtype, came: came,
+	s := &search{name: head["x-request-id"], key: key, qtype: qtype, came: came,
 		retry: head["x-retry"] == "1"}
 	if !plainName(s.name) {
 		return refuse("X-Request-Id %.40q", s.name)
@@ -311,7 +308,7 @@
 		return refuse("X-Deadline %.40q", head["x-deadline"])
 	}
 	s.patience = time.Duration(math.Min(wait, longWait.Seconds()) * float64(time.Second))
-	if err := s.read(body, int(o.plan.fact("Specifics.Ranges"))); err != nil {
+	if err := s.read(body, o.blocks); err != nil {
 		return err
 	}
 	s.reply = func(r result) { c.answer(r, keep) }
@@ -330,41 +327,18 @@
 	return text != "" && len(text) <= nameMost
 }
 
-// read takes the parts and their text from a request's body.
-func (s *search) read(body []byte, shards int) error {
-	all, err := object(body)
-	if err != nil {
-		return refuse("body: %v", err)
-	}
-	list, _ := all["ranges"].([]any)
-	text, ok := all["predicate"].(string)
-	if len(list) == 0 || !ok {
-		return refuse("body without ranges or predicate")
-	}
-	// Guards against text that reading has changed: replicas get it as it came or not at all.
-	if !utf8.Valid(body) || strings.ContainsRune(text, utf8.RuneError) && !bytes.ContainsRune(body, utf8.RuneError) {
-		return refuse("body is no text")
-	}
-	s.text = []byte(text)
-	seen, sum := map[int]bool{}, 0.0
-	for _, item := range list {
-		m, _ := item.(map[string]any)
-		shard, ok1 := amount(m["range"])
-		weight, ok2 := amount(m["portion"])
-		n := int(shard)
-		if !ok1 || shard != math.Trunc(shard) || n < 0 || n >= shards || seen[n] {
-			return refuse("range %.40q", fmt.Sprint(m["range"]))
-		}
-		if !ok2 || weight <= 0 || weight > 1+weightSlack {
-			return refuse("portion %.40q", fmt.Sprint(m["portion"]))
-		}
-		seen[n], sum = true, sum+weight
-		s.shards, s.weights = append(s.shards, n), append(s.weights, weight)
+// place takes a target apart: its path, and what the request is about.
+func place(target string) (path, key string, err error) {
+	path, query, _ := strings.Cut(target, "?")
+	key, plain := strings.CutPrefix(query, "k=")
+	if plainName(target) && target[0] == '/' && !strings.ContainsAny(target, "%+&;#") && (plain || query == "") {
+		return path, key, nil
 	}
-	if math.Abs(sum-1) > weightSlack {
-		return refuse("portions add up to %g", sum)
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return "", "", err
 	}
-	return nil
+	return u.Path, u.Query().Get("k"), nil
 }
 
 // answer writes a final answer; an owner's call.
@@ -381,14 +355,9 @@
 		}
 		c.respond(503, extra, []byte("{}"), keep)
 	default:
-		body := fmt.Appendf(nil, `{"total":%t,"answers":[`, r.whole)
-		for i, p := range r.parts {
-			if i > 0 {
-				body = append(body, ',')
-			}
-			value, _ := json.Marshal(string(p.value))
-			body = fmt.Appendf(body, `{"range":%d,"blob":%s}`, p.shard, value)
-		}
-		c.respond(200, "", append(body, "]}"...), keep)
+		b := lend()
+		*b = appendAnswer(*b, r)
+		c.respond(200, "", *b, keep)
+		giveBack(b)
 	}
 }
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -148,22 +148,14 @@
 	defer conn.Close()
 	g.Go(func() error { return read(ctx) })
 	g.Go(func() error {
+		var together []*parcel
 		for {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
 			case p := <-l.backlog:
 				conn.SetWriteDeadline(time.Now().Add(stall))
-				if !p.stage.CompareAndSwap(queued, begun) { // next to the write: what was begun may be out
-					giveBack(p.b)
-					continue
-				}
-				if _, err := conn.Write(*p.b); err != nil {
-					return stuck
-				}
-				p.stage.Store(written)
-				giveBack(p.b)
-				if err := wrote(p); err != nil {
+				if err := l.write(conn, p, &together, wrote); err != nil {
 					return err
 				}
 			}
@@ -177,3 +169,53 @@
 	l.end(end) // a context that is not ended stays with its parent for good
 	return end
 }
+
+// write writes a message, and in one piece with it those that wait behind it and are small.
+func (l *link) write(conn net.Conn, p *parcel, room *[]*parcel, wrote func(*parcel) error) error {
+	all := (*room)[:0]
+	defer func() {
+		clear(all)
+		*room = all[:0]
+	}()
+	for size := 0; p != nil; {
+		if p.stage.CompareAndSwap(queued, begun) { // next to the write: what was begun may be out
+			size += len(*p.b)
+			if all = append(all, p); p.last || size > togetherMost || len(all) == togetherRoom {
+				break
+			}
+		} else {
+			giveBack(p.b)
+		}
+		select {
+		case p = <-l.backlog:
+		default:
+			p = nil
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	out := all[0].b
+	if len(all) > 1 {
+		out = lend()
+		defer giveBack(out)
+		for _, p := range all {
+			*out = append(*out, *p.b...)
+		}
+	}
+	n, err := conn.Write(*out)
+	for _, p := range all {
+		if n -= len(*p.b); n < 0 { // it is not out whole, nor is what is behind it
+			return stuck
+		}
+		p.stage.Store(written)
+		giveBack(p.b)
+		if err := wrote(p); err != nil {
+			return err
+		}
+	}
+	if err != nil {
+		return stuck
+	}
+	return nil
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -33,34 +33,41 @@
 	asks   chan struct{} // subscriptions that the module asked for
 	moves  chan string   // where discovery is from now on
 
-	streams, perCall, maxAttempts int // of the settings, read once
-
-	start    time.Time
-	base     int64 // Unix time of start in tenths of a millisecond
-	now      int64
-	wakes    wakes
-	timers   map[uint64]*wake // the module's, by label
-	next     []func()         // what the next turn begins with
-	lastID   uint64
-	searches map[uint64]*search
-	names    map[string]bool // of the searches
-	parts    map[uint64]*part
-	fleet    map[string]*replica
-	order    []*replica // with calls to go out at the end of the turn
-	sockets  int        // descriptors that the plan grants
-	lines    int        // connections to replicas
-	sentAt   int64      // the last turn with calls
-	usual    float64    // tenths of a millisecond that an answer takes, of late
-	listed   bool
-	clients  map[*link]bool
-	ending   bool // no new client connections come
-	fronts   int  // others that have not finished
+	blocks, streams, perCall, maxAttempts int   // of the settings, read once
+	followUps                             []int // parts of the second step, by type; 0 where there is none
+
+	start     time.Time
+	base      int64 // Unix time of start in tenths of a millisecond
+	now       int64
+	wakes     wakes
+	timers    map[uint64]*moduleWake // the module's, by label
+	spare     []*moduleWake          // that are free
+	due       []*wake                // room for a turn's
+	next      []event                // what the next turn begins with
+	spareNext []event                // room for the one after it
+	armed     <-chan time.Time       // that the owner waits for, at or before the next wake
+	armedAt   int64
+	lastID    uint64
+	searches  map[uint64]*search
+	names     map[string]bool // of the searches
+	parts     map[uint64]*part
+	fleet     map[string]*replica
+	order     []*replica // with calls to go out at the end of the turn
+	sockets   int        // descriptors that the plan grants
+	lines     int        // connections to replicas
+	sentAt    int64      // the last turn with calls
+	usual     float64    // tenths of a millisecond that an answer takes, of late
+	listed    bool
+	clients   map[*link]bool
+	ending    bool // no new client connections come
+	fronts    int  // others that have not finished
 
 	busy  atomic.Int64 // ns spent in turns
 	peers *learner     // nil where peers are not allowed
 	door  *Door        // nil where there is no other front
 
-	checks sync.Map // of open searches that have one, by name; connections' readers use it
+	checks  sync.Map     // of open searches that have one, by name; connections' readers use it
+	checked atomic.Int64 // how many there are
 }
 
 // search is one search from its request to its final answer. The front that took it makes it; reply is
@@ -109,11 +116,37 @@
 	step   int
 	shard  int
 	in     bool
-	score  *big.Int
+	score  []byte
 	value  []byte
 	read   any // what the search's check made of value
 	subs   []*subRequest
-	untold int // sub-requests whose outcome the module has not heard
+	untold int    // sub-requests whose outcome the module has not heard
+	name   string // of its sub-requests on the wire
+
+	first subRequest // room for the first, and for subs to name it
+	one   [1]*subRequest
+}
+
+// event is what a turn begins with: something to do, or a sub-request that has ended.
+type event struct {
+	do      func()
+	sub     *subRequest
+	outcome string
+}
+
+// appendName adds its sub-requests' id on the wire.
+func (p *part) appendName(dst []byte) []byte {
+	dst = strconv.AppendInt(append(append(dst, p.s.name...), '.'), int64(p.shard), 10)
+	if p.step == 2 {
+		dst = append(dst, ".r"...)
+	}
+	return dst
+}
+
+// points is its score as a number.
+func (p *part) points() *big.Int {
+	n, _ := new(big.Int).SetString(string(p.score), 10)
+	return n
 }
 
 // over tells that the part needs no more.
@@ -124,7 +157,29 @@
 	at    int64
 	no    uint64
 	place int
-	do    func()
+	do    awaked
+}
+
+// awaked is what a wake leaves behind: a step that goes on then.
+type awaked interface{ awake(o *owner) }
+
+type doing func()
+
+func (do doing) awake(*owner) { do() }
+
+// moduleWake is one that the module asked for.
+type moduleWake struct {
+	wake
+	label uint64
+}
+
+func (w *moduleWake) awake(o *owner) {
+	label := w.label
+	delete(o.timers, label)
+	if len(o.spare) < spareMost {
+		o.spare = append(o.spare, w)
+	}
+	o.module.Timer(label)
 }
 
 type wakes struct {
@@ -202,12 +257,16 @@
 			o.turn(nil)
 			continue
 		case o.wakes.Len() > 0:
-			wait := o.wakes.list[0].at - o.clock()
+			at := o.wakes.list[0].at
+			wait := at - o.clock()
 			if wait <= 0 {
 				o.turn(nil)
 				continue
 			}
-			wake = o.Clock.After(time.Duration(wait) * tenth)
+			if o.armed == nil || at < o.armedAt { // one that comes early does no harm: most wakes are taken back
+				o.armed, o.armedAt = o.Clock.After(time.Duration(wait)*tenth), at
+			}
+			wake = o.armed
 		}
 		if o.ending && len(o.clients) == 0 && len(o.searches) == 0 && o.fronts == 0 {
 			return errDone
@@ -216,7 +275,7 @@
 		case do := <-o.queue:
 			o.turn(do)
 		case <-wake:
-			o.turn(nil)
+			o.armed = nil
 		case <-o.ctx.Done():
 			return o.ctx.Err()
 		}
@@ -233,39 +292,50 @@
 	}
 	o.module.Clock(o.now)
 	before := o.next
-	o.next = nil
-	for _, do := range before {
-		do()
+	o.next, o.spareNext = o.spareNext[:0], nil
+	for _, e := range before {
+		if e.do != nil {
+			e.do()
+		} else {
+			o.landed(e.sub, e.outcome, nil)
+		}
 	}
+	clear(before)
+	o.spareNext = before
 	if first != nil {
 		first()
 	}
 	for n := len(o.queue); n > 0; n-- {
 		(<-o.queue)()
 	}
-	var due []*wake
+	due := o.due[:0]
 	for o.wakes.Len() > 0 && o.wakes.list[0].at <= o.now {
 		due = append(due, heap.Pop(&o.wakes).(*wake))
 	}
 	for _, w := range due {
 		if w.do != nil { // one before it may have taken it back
-			w.do()
+			w.do.awake(o)
 		}
 	}
+	clear(due)
+	o.due = due
 	o.module.EndOfBatch()
 	o.sendCalls()
 }
 
-func (o *owner) after(wait int64, do func()) *wake {
+func (o *owner) after(wait int64, do func()) { o.await(&wake{}, wait, doing(do)) }
+
+// await has a wake come after a while; it is not among the wakes yet.
+func (o *owner) await(w *wake, wait int64, do awaked) {
 	o.wakes.no++
-	w := &wake{at: o.now + max(wait, 0), no: o.wakes.no, do: do}
+	w.at, w.no, w.do = o.now+max(wait, 0), o.wakes.no, do
 	heap.Push(&o.wakes, w)
-	return w
 }
 
-// unwake takes a wake back, so that it holds nothing for the rest of its wait; nil is none.
+// unwake takes a wake back, so that it holds nothing for the rest of its wait; one that has come or never was awaited
+// stays as it is.
 func (o *owner) unwake(w *wake) {
-	if w == nil {
+	if w.do == nil {
 		return
 	}
 	if w.do = nil; w.place >= 0 {
@@ -273,7 +343,12 @@
 	}
 }
 
-func (o *owner) later(do func()) { o.next = append(o.next, do) }
+func (o *owner) later(do func()) { o.next = append(o.next, event{do: do}) }
+
+// laterLanded tells the module in the next turn how a sub-request ended.
+func (o *owner) laterLanded(sub *subRequest, outcome string) {
+	o.next = append(o.next, event{sub: sub, outcome: outcome})
+}
 
 func (o *owner) number() uint64 {
 	o.lastID++
@@ -290,6 +365,7 @@
 	o.names[s.name] = true
 	if s.check != nil {
 		o.checks.Store(s.name, s.check)
+		o.checked.Add(1)
 	}
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
 	s.id, s.step = o.number(), 1
@@ -299,11 +375,20 @@
 }
 
 func (o *owner) addParts(s *search, shards []int, weights []float64) {
-	from := len(s.parts)
-	for _, shard := range shards {
-		p := &part{id: o.number(), s: s, step: s.step, shard: shard}
+	from, all := len(s.parts), make([]part, len(shards))
+	s.parts = slices.Grow(s.parts, len(shards))
+	names := make([]byte, 0, len(shards)*(len(s.name)+nameMore)) // in one piece
+	for i, shard := range shards {
+		p := &all[i]
+		p.id, p.s, p.step, p.shard = o.number(), s, s.step, shard
 		s.parts = append(s.parts, p)
 		o.parts[p.id] = p
+		names = p.appendName(names)
+	}
+	text, own := string(names), [nameMost + nameMore]byte{}
+	for _, p := range s.parts[from:] {
+		n := len(p.appendName(own[:0]))
+		p.name, text = text[:n], text[n:]
 	}
 	for i, p := range s.parts[from:] {
 		o.module.Part(p.id, s.id, p.shard, weights[i])
@@ -323,7 +408,10 @@
 	s.over = true
 	delete(o.searches, s.id)
 	delete(o.names, s.name)
-	o.checks.Delete(s.name)
+	if s.check != nil {
+		o.checks.Delete(s.name)
+		o.checked.Add(-1)
+	}
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
 			if sub.call == nil {
@@ -332,7 +420,7 @@
 			// Nothing is sent after the final answer. Guards against a frame that is begun and not out: the rest of
 			// it would follow, so its connection ends.
 			if l := sub.call.line; o.takeBack(sub) {
-				o.later(func() { o.landed(sub, "Ignored", nil) })
+				o.laterLanded(sub, "Ignored")
 			} else if sub.call.parcel.stage.Load() == begun {
 				l.cut(retired)
 			}
@@ -351,7 +439,7 @@
 }
 
 func (o *owner) in(s *search) []*part {
-	var in []*part
+	in := make([]*part, 0, len(s.parts))
 	for _, p := range s.parts {
 		if p.in && p.step == s.step {
 			in = append(in, p)
@@ -381,10 +469,7 @@
 	s.reply(result{kind: answered, whole: whole, parts: in})
 }
 
-func (o *owner) followUp(qtype int) int {
-	v, _ := strconv.ParseFloat(o.plan.list("Specifics.FollowUp")[qtype], 64)
-	return int(v)
-}
+func (o *owner) followUp(qtype int) int { return o.followUps[qtype] }
 
 // secondStep makes the parts of the second step: at the shards with the highest scores, the lower number
 // first among equals, with equal weights.
@@ -393,7 +478,7 @@
 		return
 	}
 	slices.SortFunc(in, func(p, q *part) int {
-		return cmp.Or(q.score.Cmp(p.score), cmp.Compare(p.shard, q.shard))
+		return cmp.Or(q.points().Cmp(p.points()), cmp.Compare(p.shard, q.shard))
 	})
 	s.step = 2
 	var shards []int
@@ -417,15 +502,27 @@
 }
 
 func (o *owner) Wake(wait int64, label uint64) {
-	o.timers[label] = o.after(max(wait, 1), func() {
-		delete(o.timers, label)
-		o.module.Timer(label)
-	})
+	var w *moduleWake
+	if n := len(o.spare); n > 0 {
+		w, o.spare = o.spare[n-1], o.spare[:n-1]
+	} else {
+		w = &moduleWake{}
+	}
+	w.label = label
+	o.timers[label] = w
+	o.await(&w.wake, max(wait, 1), w)
 }
 
 func (o *owner) Unwake(label uint64) {
-	o.unwake(o.timers[label])
+	w := o.timers[label]
+	if w == nil {
+		return
+	}
 	delete(o.timers, label)
+	if w.place >= 0 && len(o.spare) < spareMost { // one that is due in this turn is still looked at
+		o.spare = append(o.spare, w)
+	}
+	o.unwake(&w.wake)
 }
 
 func (o *owner) Watch() {
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/big"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,7 +27,8 @@
 	heard  int64
 	usedAt int64
 	past   map[string]uint64 // ids that were on it, with their searches: their answers may still come
-	aged   []string          // the same, oldest first
+	aged   []string          // the same; once there are pastRoom, the oldest is at eldest
+	eldest int
 }
 
 // call is what travels as one frame.
@@ -37,6 +36,9 @@
 	subs   []*subRequest
 	line   *line
 	parcel *parcel
+
+	one [1]*subRequest // room for the first of subs
+	own parcel         // and for the first parcel
 }
 
 // subRequest is one sub-request that is out.
@@ -48,9 +50,13 @@
 	sent int64
 	due  int64
 	call *call
-	wake *wake // its time-out
+	wake wake // its time-out
+	own  call // room for call
 }
 
+// awake is its time-out.
+func (sub *subRequest) awake(o *owner) { o.giveUp(sub, "TimedOut") }
+
 // Send starts a sub-request; it travels at the end of the turn, with others to that replica.
 func (o *owner) Send(id uint64, to string, timeout int64) {
 	p, r := o.parts[id], o.fleet[to]
@@ -62,11 +68,13 @@
 	if timeout == 0 || timeout > left {
 		timeout = left
 	}
-	sub := &subRequest{p: p, leg: len(p.subs), r: r, name: fmt.Sprintf("%s.%d", s.name, p.shard), sent: o.now,
-		due: o.now + timeout}
-	if p.step == 2 {
-		sub.name += ".r"
+	sub := &p.first
+	if len(p.subs) > 0 {
+		sub = &subRequest{}
+	} else {
+		p.subs = p.one[:0]
 	}
+	sub.p, sub.leg, sub.r, sub.name, sub.sent, sub.due = p, len(p.subs), r, p.name, o.now, o.now+timeout
 	p.subs = append(p.subs, sub)
 	p.untold++
 	early := ""
@@ -79,7 +87,7 @@
 		early = "ConnectError"
 	}
 	if early != "" {
-		o.later(func() { o.landed(sub, early, nil) })
+		o.laterLanded(sub, early)
 		return
 	}
 	var c *call
@@ -87,14 +95,15 @@
 		find(r.calls[n-1].subs, sub.name) == nil {
 		c = r.calls[n-1]
 	} else {
-		if c = (&call{}); n == 0 {
+		if c = &sub.own; n == 0 {
 			o.order = append(o.order, r)
 		}
+		c.subs = c.one[:0]
 		r.calls = append(r.calls, c)
 	}
 	sub.call = c
 	c.subs = append(c.subs, sub)
-	sub.wake = o.after(timeout, func() { o.giveUp(sub, "TimedOut") })
+	o.await(&sub.wake, timeout, sub)
 }
 
 // Cancel gives a sub-request up.
@@ -119,7 +128,7 @@
 	if l != nil && l.heard < sub.sent && o.now-sub.sent > o.silence() {
 		o.retire(l)
 	}
-	o.later(func() { o.landed(sub, outcome, nil) })
+	o.laterLanded(sub, outcome)
 }
 
 // takeBack takes a sub-request off its call if no byte of that has been begun; the rest goes without it.
@@ -137,8 +146,7 @@
 func (o *owner) leave(sub *subRequest) {
 	c := sub.call
 	sub.call = nil
-	o.unwake(sub.wake)
-	sub.wake = nil
+	o.unwake(&sub.wake)
 	c.subs = slices.DeleteFunc(c.subs, func(x *subRequest) bool { return x == sub })
 	if l := c.line; l != nil {
 		if c.parcel.stage.Load() != called {
@@ -159,13 +167,14 @@
 		l.past = map[string]uint64{}
 	}
 	if _, known := l.past[sub.name]; !known {
-		l.aged = append(l.aged, sub.name)
+		if len(l.aged) < pastRoom {
+			l.aged = append(l.aged, sub.name)
+		} else {
+			delete(l.past, l.aged[l.eldest])
+			l.aged[l.eldest], l.eldest = sub.name, (l.eldest+1)%pastRoom
+		}
 	}
 	l.past[sub.name] = sub.p.s.id
-	if len(l.aged) > pastRoom {
-		delete(l.past, l.aged[0])
-		l.aged = slices.Delete(l.aged, 0, 1)
-	}
 }
 
 // landed tells the module how a sub-request ended.
@@ -189,7 +198,7 @@
 			if l == nil {
 				for _, sub := range slices.Clone(c.subs) {
 					o.leave(sub)
-					o.later(func() { o.landed(sub, starved.outcome(false, false, false), nil) })
+					o.laterLanded(sub, starved.outcome(false, false, false))
 				}
 				continue
 			}
@@ -198,7 +207,8 @@
 			l.subs = append(l.subs, c.subs...)
 			o.load(c)
 		}
-		r.calls = nil
+		clear(r.calls)
+		r.calls = r.calls[:0]
 	}
 	o.order = o.order[:0]
 }
@@ -210,7 +220,11 @@
 	}
 	b := lend()
 	*b = c.line.speaks.call(o, *b, c)
-	c.parcel = &parcel{b: b}
+	p := &c.own
+	if c.parcel != nil { // that one was taken back, and may still stand in the backlog
+		p = &parcel{}
+	}
+	p.b, c.parcel = b, p
 	c.line.usedAt = o.now
 	c.line.put(c.parcel)
 }
@@ -316,9 +330,13 @@
 	return l
 }
 
-// checked passes a value to the check of its search, where that has one. Guards against a host that answers in good
+// looked passes a value to the check of its search, where that has one. Guards against a host that answers in good
 // form and leaves out what was asked: its part would count as in.
-func (o *owner) checked(id string, value []byte) (any, error) {
+func (o *owner) looked(part, value []byte) (any, error) {
+	if o.checked.Load() == 0 {
+		return nil, nil
+	}
+	id := string(part)
 	id = strings.TrimSuffix(id, ".r")
 	dot := strings.LastIndexByte(id, '.')
 	check, ok := o.checks.Load(id[:max(0, dot)])
@@ -334,13 +352,13 @@
 
 // answer takes a replica's answer; one to a part that is no longer out is dropped. One to a part that never
 // was out on this connection is spoilt, and another waits for its own in vain.
-func (o *owner) answer(l *line, id, outcome string, score *big.Int, report map[string]float64,
+func (o *owner) answer(l *line, id []byte, outcome string, score []byte, report map[string]float64,
 	value []byte, read any) {
 	l.heard = o.now
-	sub := find(l.subs, id)
+	sub := find(l.subs, string(id))
 	if sub == nil {
-		if _, known := l.past[id]; !known {
-			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", "answer to "+id)
+		if _, known := l.past[string(id)]; !known {
+			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", "answer to "+string(id))
 			l.cut(garbled)
 		}
 		return
@@ -357,7 +375,7 @@
 // hush ends connections that have long been silent under parts, once their replica has answered a later part on
 // another: it is the connection that is lost, and its parts can go out again.
 func (o *owner) hush(heard *line, sent int64) {
-	for _, l := range slices.Clone(heard.r.lines) {
+	for _, l := range heard.r.lines {
 		age := l.unheard(o.now)
 		if l != heard && !l.shut && o.now-age < sent && age > max(o.silence(), o.doubtAfter()) {
 			l.cut(retired)
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -28,6 +28,8 @@
 	bufferSize   = 16 << 10                // bytes: a head and most whole messages; 1,000 of them are 16 MB
 	queueRoom    = 1024                    // events waiting for the owner: some for each descriptor of a usual limit
 	clientRoom   = 4                       // answers waiting on a client's connection: clients send one at a time
+	togetherMost = 8 << 10                 // bytes of messages that are written in one piece: a buffer holds two such
+	togetherRoom = 64                      // messages of them: a turn's calls to one replica
 	replicaRoom  = 512                     // frames waiting on a replica's: calls of 32 streams with their cancels
 	clientShare  = 0.55                    // of the descriptors go to clients; a search rests on several replicas,
 	replicaShare = 0.35                    // yet parts share connections; the rest is for list, log, runtime
@@ -59,6 +61,9 @@
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
 	wordsMost    = 200                     // bytes of a replica's words in a log line
+	nameMore     = 24                      // bytes of a part's id behind its search's: a dot, a number, the step
+	listMost     = 256                     // bytes of a part's list that need no room of their own
+	spareMost    = 4096                    // wakes that are kept for the next: those of a few hundred open searches
 	nameMost     = 128                     // bytes of a request's id: it stands in each of its frames
 )
 
@@ -320,10 +325,14 @@
 	stopping, stop := context.WithCancel(work)
 	defer stop()
 	o := &owner{plan: p, Means: m, log: newNotes(m.Clock, m.Log.Handler()), g: g, ctx: work, queue: make(chan func(), queueRoom),
-		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*wake{},
+		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*moduleWake{},
 		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
-		streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
+		blocks: p.Blocks(), streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
 		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{}}
+	for i := range p.count("Classes") {
+		v, _ := strconv.ParseFloat(p.list("Specifics.FollowUp")[i], 64)
+		o.followUps = append(o.followUps, int(v))
+	}
 	o.base = o.start.UnixMicro() / 100
 	f := &front{o: o, gate: newGate(int(clientShare * float64(p.Sockets))), classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
 	o.module = logic.New(o)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -32,6 +32,9 @@
 	buf  []byte // as lent to NewReader
 	r, w int    // what is read and not used
 	left int    // bytes that the present head may still have
+
+	head string            // what is left of a head that has come whole
+	met  map[string]string // the fields of the last head
 }
 
 // NewReader reads by way of buf, which no one else may use meanwhile; it has to hold a head.
@@ -76,6 +79,14 @@
 
 // line takes one line of a head, its end cut off.
 func (r *Reader) line() (string, error) {
+	if i := strings.IndexByte(r.head, '\n'); i >= 0 {
+		text := r.head[:i]
+		r.head, r.r = r.head[i+1:], r.r+i+1
+		if r.left -= i + 1; r.left < 0 {
+			return "", fault(431, "head over %d bytes", headMost)
+		}
+		return strings.TrimSuffix(text, "\r"), nil
+	}
 	for seen := 0; ; {
 		if i := bytes.IndexByte(r.buf[r.r+seen:r.w], '\n'); i >= 0 {
 			text := r.buf[r.r : r.r+seen+i]
@@ -94,6 +105,14 @@
 	}
 }
 
+// whole takes a head that has come whole as one text, which its lines and fields are then parts of.
+func (r *Reader) whole() {
+	r.head = ""
+	if i := bytes.Index(r.buf[r.r:r.w], []byte("\r\n\r\n")); i >= 0 {
+		r.head = string(r.buf[r.r : r.r+i+4])
+	}
+}
+
 // token tells whether text is a name as HTTP has them.
 func token(text string) bool {
 	for i := 0; i < len(text); i++ {
@@ -108,20 +127,25 @@
 
 // fields takes header lines up to the empty one. Names are in small letters, repeats joined by commas.
 func (r *Reader) fields() (map[string]string, error) {
-	m := map[string]string{}
+	if r.met == nil {
+		r.met = map[string]string{}
+	}
+	m := r.met
+	clear(m)
 	for {
 		text, err := r.line()
 		if err != nil {
 			return nil, err
 		}
 		if text == "" {
+			r.head = ""
 			return m, nil
 		}
 		name, value, ok := strings.Cut(text, ":")
 		if !ok || !token(name) {
 			return nil, fault(400, "header line %.40q", text)
 		}
-		name, value = strings.ToLower(name), strings.Trim(value, " \t")
+		name, value = small(name), strings.Trim(value, " \t")
 		for i := 0; i < len(value); i++ {
 			if c := value[i]; c < ' ' && c != '\t' || c == 127 {
 				return nil, fault(400, "header %s holds a control character", name)
@@ -134,33 +158,48 @@
 	}
 }
 
-// Request takes one request. Keep tells whether its sender keeps the connection.
+// usual are the names of fields that clients and discovery send, as they mostly write them.
+var usual = map[string]string{"Host": "host", "X-Request-Id": "x-request-id", "X-Class": "x-class", "X-Tenant": "x-tenant",
+	"X-Deadline": "x-deadline", "X-Retry": "x-retry", "Content-Length": "content-length", "Content-Type": "content-type",
+	"Connection": "connection"}
+
+func small(name string) string {
+	if known, ok := usual[name]; ok {
+		return known
+	}
+	return strings.ToLower(name)
+}
+
+// Request takes one request. Keep tells whether its sender keeps the connection. Head and body hold until the next
+// call.
 func (r *Reader) Request() (method, target string, head map[string]string, body []byte, keep bool, err error) {
 	r.left = headMost
+	r.whole()
 	start := ""
 	for start == "" { // empty lines before a request are to be passed over
 		if start, err = r.line(); err != nil {
 			return
 		}
 	}
-	part := strings.Split(start, " ")
-	if len(part) != 3 || !token(part[0]) || part[1] == "" || !strings.HasPrefix(part[2], "HTTP/") {
+	one, more, _ := strings.Cut(start, " ")
+	two, version, _ := strings.Cut(more, " ")
+	if !token(one) || two == "" || !strings.HasPrefix(version, "HTTP/") || strings.Contains(version, " ") {
 		err = fault(400, "request line %.40q", start)
 		return
 	}
-	if part[2] != "HTTP/1.1" && part[2] != "HTTP/1.0" {
-		err = fault(505, "version %.20q", part[2])
+	if version != "HTTP/1.1" && version != "HTTP/1.0" {
+		err = fault(505, "version %.20q", version)
 		return
 	}
-	method, target = part[0], part[1]
+	method, target = one, two
 	if head, err = r.fields(); err != nil {
 		return
 	}
-	if _, ok := head["host"]; !ok && part[2] == "HTTP/1.1" {
+	if _, ok := head["host"]; !ok && version == "HTTP/1.1" {
 		err = fault(400, "no Host")
 		return
 	}
-	keep = keeps(part[2], head)
+	keep = keeps(version, head)
 	_, long := head["content-length"]
 	_, coded := head["transfer-encoding"]
 	if long || coded {
@@ -171,9 +210,10 @@
 	return
 }
 
-// Response takes one response to a request other than HEAD.
+// Response takes one response to a request other than HEAD. Head and body hold until the next call.
 func (r *Reader) Response() (status int, head map[string]string, body []byte, keep bool, err error) {
 	r.left = headMost
+	r.whole()
 	start, err := r.line()
 	if err != nil {
 		return
@@ -201,6 +241,9 @@
 }
 
 func keeps(version string, head map[string]string) bool {
+	if head["connection"] == "" {
+		return version == "HTTP/1.1"
+	}
 	for _, word := range strings.Split(head["connection"], ",") {
 		switch strings.ToLower(strings.TrimSpace(word)) {
 		case "close":
@@ -245,8 +288,13 @@
 	return int(n), nil
 }
 
-// take appends n bytes to body, or all up to the end where n is below 0. Room grows with what has come.
+// take appends n bytes to body, or all up to the end where n is below 0. Room grows with what has come; what has come
+// whole is not copied.
 func (r *Reader) take(body []byte, n int) ([]byte, error) {
+	if body == nil && n > 0 && r.w-r.r >= n && n <= bodyMost {
+		r.r += n
+		return r.buf[r.r-n : r.r : r.r], nil
+	}
 	for n != 0 {
 		if r.r == r.w {
 			if err := r.fill(); err == io.EOF && n < 0 {
@@ -281,7 +329,10 @@
 			return nil, err
 		}
 		if n == 0 {
-			_, err = r.fields() // trailers say nothing here
+			head := r.met // trailers say nothing here, and take nothing of it
+			r.met = nil
+			_, err = r.fields()
+			r.met = head
 			return body, err
 		}
 		if body, err = r.take(body, n); err != nil {
@@ -303,8 +354,9 @@
 
 // AppendResponse adds a response with a JSON body and one more header line, if not empty.
 func AppendResponse(dst []byte, status int, extra string, body []byte, keep bool) []byte {
-	dst = fmt.Appendf(dst, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
-		status, reasons[status], len(body))
+	dst = append(strconv.AppendInt(append(dst, "HTTP/1.1 "...), int64(status), 10), ' ')
+	dst = append(append(dst, reasons[status]...), "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	dst = append(strconv.AppendInt(dst, int64(len(body)), 10), "\r\n"...)
 	if extra != "" {
 		dst = append(append(dst, extra...), "\r\n"...)
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -30,6 +30,7 @@
 	"clients":    Clients,
 	"learning":   Learning,
 	"memory":     Memory,
+	"ordinary":   Ordinary,
 	"peers":      PeerCost,
 	"opensearch": OpenSearch,
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,13 +186,13 @@
 func (c *coordinator) EndOfBatch() {
 	for i := 0; c.sendWaiting() && i < len(c.queue) && !c.busy(); {
 		s := c.queue[i]
-		switch late := c.lateness(); {
+		switch {
 		case s.over:
 		case c.blocked(s):
 			i++
 			c.parked = true
 			continue
-		case (s.came < c.now || c.ease() < strain) && late(s, 0):
+		case (s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
 			c.shed(s)
 		default:
 			c.open(s)
@@ -364,16 +364,14 @@
 	return can
 }
 
-// trial tells whether a suspect, or one said to be bad, may take a part beside sound ones: it may have
-// healed.
+// trial tells whether one that is bad, or said to be, may take a part beside sound ones: it may have healed.
 func (c *coordinator) trial(r *replica, p *part) bool {
 	return c.now >= max(r.trialAt, c.trialAt) && len(p.tries) == 0 && p.s.effect == "retryable" &&
 		(c.suspect(r) || p.s.need < p.s.most-1e-4)
 }
 
 // pick chooses a part's replica: fewest own calls out, one not tried yet if there is; ties by chance, or by
-// past answers where evidence is thin. Of many holders a few drawn ones are looked at first: an idle one
-// among them has the fewest, and is as good as any.
+// past answers where evidence is thin. Of many, a few drawn ones are looked at first: an idle one has the fewest.
 func (c *coordinator) pick(p *part) *replica {
 	if c.full[p.shard] || float64(p.s.due-c.now) < c.best {
 		return nil
@@ -837,10 +835,13 @@
 
 // lateness gives what tells whether a search with so many parts before it would be answered after its target.
 // It holds while no part is sent or lands: what a turn asks of each waiting search is worked out once.
-func (c *coordinator) lateness() func(s *search, ahead float64) bool {
+func (c *coordinator) lateness() lateness {
 	n, total := c.spell.read(c.now, rateSpan)
-	now, speed, spell := float64(c.now), c.speed(), usefulPad*total/(n+1)
-	return func(s *search, ahead float64) bool { return now+ahead/speed+spell > float64(s.useful) }
+	return lateness{float64(c.now), c.speed(), usefulPad * total / (n + 1)}
+}
+
+func (l lateness) of(s *search, ahead float64) bool {
+	return l.now+ahead/l.speed+l.spell > float64(s.useful)
 }
 
 // trim guards against overload: what cannot be answered in useful time is turned away while its client can
@@ -854,7 +855,7 @@
 	if len(c.queue) > 0 {
 		late := c.lateness()
 		for _, s := range c.queue {
-			if !s.over && (s.beyond || late(s, float64(ahead))) {
+			if !s.over && (s.beyond || late.of(s, float64(ahead))) {
 				c.shed(s)
 			}
 			if s.over {
--- a/logic/state.go
+++ b/logic/state.go
@@ -109,6 +109,9 @@
 	return &p.first
 }
 
+// lateness is what the time that a search will end by is reckoned from.
+type lateness struct{ now, speed, spell float64 }
+
 // ordered is a part with what it is sorted by.
 type ordered struct {
 	*part
