--- a/coordinator/bodies.go
+++ b/coordinator/bodies.go
@@ -170,6 +170,27 @@
 	return nil
 }
 
+// answerSize tells how long the body of an answer will be; not plain where values have to be escaped, which makes it
+// longer.
+func answerSize(r result) (size int, plain bool) {
+	plain = true
+	size = len(`{"total":,"answers":[]}`) + len("false")
+	if r.whole {
+		size--
+	}
+	for i, p := range r.parts {
+		if i > 0 {
+			size++
+		}
+		var digits [20]byte
+		size += len(`{"range":,"blob":""}`) + len(strconv.AppendInt(digits[:0], int64(p.shard), 10)) + len(p.value)
+		for _, c := range p.value {
+			plain = plain && c >= ' ' && c != '"' && c != '\\'
+		}
+	}
+	return size, plain
+}
+
 // appendAnswer adds the body of an answer.
 func appendAnswer(dst []byte, r result) []byte {
 	dst = strconv.AppendBool(append(dst, `{"total":`...), r.whole)
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -355,9 +355,21 @@
 		}
 		c.respond(503, extra, []byte("{}"), keep)
 	default:
+		size, plain := answerSize(r)
 		b := lend()
-		*b = appendAnswer(*b, r)
-		c.respond(200, "", *b, keep)
-		giveBack(b)
+		if size+headRoom > cap(*b) {
+			giveBack(b)
+			b = new([]byte)
+			*b = make([]byte, 0, size+headRoom)
+		}
+		if !plain { // what is escaped has to be written before its length is known
+			*b = appendAnswer(*b, r)
+			c.respond(200, "", *b, keep)
+			giveBack(b)
+			return
+		}
+		keep = keep && c.stopping.Err() == nil
+		*b = appendAnswer(http1.AppendHead(*b, 200, "", size, keep), r)
+		c.put(&parcel{b: b, last: !keep})
 	}
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -848,3 +849,26 @@
 	_, err = Read(func(name string) string { return map[string]string{"GW_CONFIG": "/nowhere"}[name] })
 	require.ErrorContains(t, err, "/nowhere")
 }
+
+// An answer's length is told before it is written: what is told is what is written, whatever the values.
+func TestAnswerSize(t *testing.T) {
+	for _, values := range [][]string{{}, {""}, {"a", "Grüße, 世界", "\x7f"}, {`"`}, {"a\nb", `\`}, {strings.Repeat("v", 40_000), "x"}} {
+		for _, whole := range []bool{true, false} {
+			r := result{whole: whole}
+			for i, v := range values {
+				r.parts = append(r.parts, &part{shard: i * 37, value: []byte(v)})
+			}
+			text := appendAnswer(nil, r)
+			size, plain := answerSize(r)
+			require.Equal(t, !strings.ContainsAny(strings.Join(values, ""), "\"\n\\"), plain)
+			if plain {
+				require.Len(t, text, size)
+			}
+			var got struct{ Answers []struct{ Blob string } }
+			require.NoError(t, json.Unmarshal(text, &got))
+			for i, v := range values {
+				require.Equal(t, v, got.Answers[i].Blob)
+			}
+		}
+	}
+}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -61,6 +61,7 @@
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
 	wordsMost    = 200                     // bytes of a replica's words in a log line
+	headRoom     = 512                     // bytes for the head of an answer
 	nameMore     = 24                      // bytes of a part's id behind its search's: a dot, a number, the step
 	listMost     = 256                     // bytes of a part's list that need no room of their own
 	spareMost    = 4096                    // wakes that are kept for the next: those of a few hundred open searches
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -354,16 +354,21 @@
 
 // AppendResponse adds a response with a JSON body and one more header line, if not empty.
 func AppendResponse(dst []byte, status int, extra string, body []byte, keep bool) []byte {
+	return append(AppendHead(dst, status, extra, len(body), keep), body...)
+}
+
+// AppendHead adds the head of a response whose JSON body of so many bytes is to follow.
+func AppendHead(dst []byte, status int, extra string, length int, keep bool) []byte {
 	dst = append(strconv.AppendInt(append(dst, "HTTP/1.1 "...), int64(status), 10), ' ')
 	dst = append(append(dst, reasons[status]...), "\r\nContent-Type: application/json\r\nContent-Length: "...)
-	dst = append(strconv.AppendInt(dst, int64(len(body)), 10), "\r\n"...)
+	dst = append(strconv.AppendInt(dst, int64(length), 10), "\r\n"...)
 	if extra != "" {
 		dst = append(append(dst, extra...), "\r\n"...)
 	}
 	if !keep {
 		dst = append(dst, "Connection: close\r\n"...)
 	}
-	return append(append(dst, "\r\n"...), body...)
+	return append(dst, "\r\n"...)
 }
 
 // AppendGet adds a request for target.
--- a/lab/cost.go
+++ b/lab/cost.go
@@ -46,6 +46,7 @@
 	nodeInstance = "CHALKLAB_PEER"
 	nodeFront    = "CHALKLAB_FRONT"
 	nodeFloor    = "CHALKLAB_FLOOR"   // hosts of the plain program that is to run in the co-ordinator's place
+	nodeCounts   = "CHALKLAB_COUNTS"  // count what is asked of sockets
 	nodeProfile  = "CHALKLAB_PROFILE" // a file for the CPU profile; that of allocations is beside it
 )
 
@@ -131,7 +132,11 @@
 	if err != nil {
 		return err
 	}
-	go countAllocations()
+	go tellCounts()
+	dial := (&net.Dialer{}).DialContext
+	if os.Getenv(nodeCounts) != "" {
+		ln, dial = countingListener{ln}, countingDial
+	}
 	if hosts := os.Getenv(nodeFloor); hosts != "" {
 		return Floor(ctx, ln, strings.Split(hosts, ","))
 	}
@@ -154,16 +159,18 @@
 		defer stop()
 	}
 	return plan.Serve(ctx, coordinator.Means{Fronts: []coordinator.Front{front},
-		Hosts: map[string]coordinator.HostKind{searchKind: {Index: "members"}}, Listener: ln, Dial: (&net.Dialer{}).DialContext,
+		Hosts: map[string]coordinator.HostKind{searchKind: {Index: "members"}}, Listener: ln, Dial: dial,
 		Clock: coordinator.SystemClock{}, Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Peers: more})
 }
 
-// countAllocations answers each line asked for with the count of allocations so far.
-func countAllocations() {
+// tellCounts answers each line asked for with the counts so far.
+func tellCounts() {
 	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		fmt.Println(m.Mallocs)
+		text, _ := json.Marshal(counted{float64(m.Mallocs), float64(m.TotalAlloc), float64(sockets.reads.Load()),
+			float64(sockets.writes.Load()), float64(sockets.copied.Load())})
+		fmt.Println(string(text))
 	}
 }
 
@@ -192,10 +199,7 @@
 
 // mallocs is how many allocations the process has made.
 func (p *process) mallocs() float64 {
-	fmt.Fprintln(p.in)
-	line, _ := p.out.ReadString('\n')
-	n, _ := strconv.ParseFloat(strings.TrimSpace(line), 64)
-	return n
+	return p.counts().Allocs
 }
 
 // resident is the process's memory in MB.
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -28,6 +28,7 @@
 // Measures are the measurements by name.
 var Measures = map[string]func(ctx context.Context, seed int64) (Result, error){
 	"clients":    Clients,
+	"counts":     Counts,
 	"learning":   Learning,
 	"memory":     Memory,
 	"ordinary":   Ordinary,
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -371,7 +371,7 @@
 }
 
 // pick chooses a part's replica: fewest own calls out, one not tried yet if there is; ties by chance, or by
-// past answers where evidence is thin. Of many, a few drawn ones are looked at first: an idle one has the fewest.
+// past answers where evidence is thin. Of many, a few drawn are looked at first: an idle one has the fewest.
 func (c *coordinator) pick(p *part) *replica {
 	if c.full[p.shard] || float64(p.s.due-c.now) < c.best {
 		return nil
