What open searches and untaken answers hold is bounded by a share of memory_mb

Long answers, many open searches or clients that read slowly could pass the memory limit, which ends the program. The owner now counts what searches, their values and answers that clients have not taken hold, and tells the module how much of the room (a quarter of memory_mb) is in use; with none left the module sheds what comes and what waits at once, with a time to come back of an answer's length at least. What is on goes on.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -54,6 +54,7 @@
 			f.gate.leave(c)
 			o.post(func() {
 				delete(o.clients, c.link)
+				o.unsent.Add(-c.unsent.Swap(0))
 				if c.search != nil { // whichever way it ended: a search still on it has lost its client
 					o.withdraw(c.search)
 				}
@@ -79,7 +80,8 @@
 	waiting  bool      // for an answer
 	looked   bool      // for a last request
 	answered chan struct{}
-	over     atomic.Bool // the last answer is out
+	over     atomic.Bool  // the last answer is out
+	unsent   atomic.Int64 // bytes of answers that it has not taken
 }
 
 func (c *client) awaits() bool {
@@ -226,6 +228,8 @@
 
 // wrote is told of each answer that is out whole.
 func (c *client) wrote(p *parcel) error {
+	c.unsent.Add(-p.size)
+	c.o.unsent.Add(-p.size)
 	if p.last || c.stopping.Err() != nil {
 		c.over.Store(true)
 		half, ok := c.conn.(interface{ CloseWrite() error })
@@ -248,7 +252,15 @@
 	keep = keep && c.stopping.Err() == nil
 	b := lend()
 	*b = http1.AppendResponse(*b, status, extra, body, keep)
-	c.put(&parcel{b: b, last: !keep})
+	c.give(&parcel{b: b, last: !keep})
+}
+
+// give hands an answer to the writer; until it is taken, it is held.
+func (c *client) give(p *parcel) {
+	p.size = int64(len(*p.b))
+	c.unsent.Add(p.size)
+	c.o.unsent.Add(p.size)
+	c.put(p)
 }
 
 // refusal is what a request gets that can be read and not be used.
@@ -370,6 +382,6 @@
 		}
 		keep = keep && c.stopping.Err() == nil
 		*b = appendAnswer(http1.AppendHead(*b, 200, "", size, keep), r)
-		c.put(&parcel{b: b, last: !keep})
+		c.give(&parcel{b: b, last: !keep})
 	}
 }
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -102,7 +102,8 @@
 // parcel is one message on its way to a socket.
 type parcel struct {
 	b     *[]byte
-	last  bool // the connection ends after it
+	last  bool  // the connection ends after it
+	size  int64 // bytes, where who gave it counts them
 	stage atomic.Int32
 }
 
--- a/coordinator/held_test.go
+++ b/coordinator/held_test.go
@@ -34,3 +34,46 @@
 	})
 	r.end()
 }
+
+// What open searches and untaken answers hold is bounded: with no room left, a search is turned away at once with a time
+// to come back, and there is room again once answers are out.
+func TestNoRoom(t *testing.T) {
+	r := start(t, 256, nil)
+	long := strings.Repeat("v", 20_000)
+	held := make(chan asked, 1)
+	for _, s := range r.replicas {
+		s.Set(func(a asked) {
+			switch {
+			case !strings.HasPrefix(a.ID, "first"):
+				a.Good()
+			case a.Shard == 3:
+				held <- a
+			default:
+				a.Reply("good", "1", long)
+			}
+		})
+	}
+	look := func() (bytes int64) {
+		told := make(chan struct{})
+		require.True(t, r.owner.post(func() {
+			r.owner.room = 50_000
+			bytes = r.owner.bytes + r.owner.unsent.Load()
+			close(told)
+		}))
+		<-told
+		return bytes
+	}
+	first := r.call().send(request("first", "all", "", fourParts))
+	a := <-held
+	r.eventually("values are held", func() bool { return look() > 50_000 })
+	status, head, _, _ := r.call().send(request("second", "all", "", fourParts)).answer()
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, head["retry-after"])
+	a.Good()
+	status, _, text, _ := first.answer()
+	require.Equal(t, 200, status)
+	require.Equal(t, 3, strings.Count(text, long))
+	r.eventually("all is released", func() bool { return look() == 0 })
+	r.call().want("third", "all", 200, wholeOfAll)
+	r.end()
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -66,6 +66,10 @@
 	peers *learner     // nil where peers are not allowed
 	door  *Door        // nil where there is no other front
 
+	room   float64      // bytes for open searches and their answers
+	bytes  int64        // of it that searches hold
+	unsent atomic.Int64 // and answers that clients have not taken
+
 	checks  sync.Map     // of open searches that have one, by name; connections' readers use it
 	checked atomic.Int64 // how many there are
 }
@@ -91,6 +95,7 @@
 	from  []int // shards that were in at the end of the first step
 	parts []*part
 	over  bool
+	bytes int64 // that it holds
 }
 
 // result is a final answer.
@@ -319,6 +324,7 @@
 	}
 	clear(due)
 	o.due = due
+	o.module.Held(float64(o.bytes+o.unsent.Load()) / o.room)
 	o.module.EndOfBatch()
 	o.sendCalls()
 }
@@ -370,6 +376,7 @@
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
 	s.id, s.step = o.number(), 1
 	o.searches[s.id] = s
+	o.hold(s, searchBytes+len(s.text)+partBytes*len(s.shards))
 	o.module.Search(s.id, s.qtype, s.tenant, s.key, s.due-o.now, s.id, len(s.shards), s.retry)
 	o.addParts(s, s.shards, s.weights)
 }
@@ -404,7 +411,15 @@
 	o.module.Withdrawn(s.id)
 }
 
+// hold counts what a search holds, against memory that follows what answers happen to be long. The module turns
+// searches away when there is no room: guards against an end by the kernel.
+func (o *owner) hold(s *search, n int) {
+	s.bytes += int64(n)
+	o.bytes += int64(n)
+}
+
 func (o *owner) finish(s *search) {
+	o.hold(s, -int(s.bytes))
 	s.over = true
 	delete(o.searches, s.id)
 	delete(o.names, s.name)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -368,6 +368,7 @@
 	o.hush(l, sub.sent)
 	if p := sub.p; outcome == "Ok" && !p.over() {
 		p.in, p.score, p.value, p.read = true, score, value, read
+		o.hold(p.s, len(value))
 	}
 	o.landed(sub, outcome, report)
 }
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -61,6 +61,10 @@
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
 	wordsMost    = 200                     // bytes of a replica's words in a log line
+	roomShare    = 0.25                    // of the memory limit is for open searches and answers: half of the runtime's
+	roomLeast    = 2 << 20                 // goal is the collector's, the rest connections. Some searches always fit
+	searchBytes  = 2 << 10                 // that a search holds, here and in the module, beside its text
+	partBytes    = 1 << 10                 // and each part of it, beside its value
 	headRoom     = 512                     // bytes for the head of an answer
 	nameMore     = 24                      // bytes of a part's id behind its search's: a dot, a number, the step
 	listMost     = 256                     // bytes of a part's list that need no room of their own
@@ -329,7 +333,8 @@
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*moduleWake{},
 		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
 		blocks: p.Blocks(), streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
-		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{}}
+		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{},
+		room: max(roomLeast, roomShare*float64(p.MemoryMB)*(1<<20))}
 	for i := range p.count("Classes") {
 		v, _ := strconv.ParseFloat(p.list("Specifics.FollowUp")[i], 64)
 		o.followUps = append(o.followUps, int(v))
--- a/logic/iface.go
+++ b/logic/iface.go
@@ -29,6 +29,9 @@
 	Know(from, most int, tell func(b Belief)) (next int)
 	// Hear takes in what was heard of the fleet, a zone or a replica, in the place of what was heard before.
 	Hear(h Heard)
+	// Held tells how much of the room for searches and their answers is in use: at 1 none is left, and what waits is
+	// turned away.
+	Held(share float64)
 	// EndOfBatch closes the turn: what waits is looked at once more.
 	EndOfBatch()
 }
--- a/logic/know.go
+++ b/logic/know.go
@@ -52,3 +52,12 @@
 }
 
 func (c *coordinator) ProbeResult(string, string, int64, map[string]float64) {}
+
+func (c *coordinator) Held(share float64) { c.fullness = share }
+
+func (c *coordinator) warm(r *replica) bool {
+	return r.since == 0 || c.now >= r.since+c.facts.span("Safety.Cold")
+}
+
+// doubted tells whether a replica was said to be bad and has not answered here since.
+func (c *coordinator) doubted(r *replica) bool { return c.now < r.doubtTo }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -192,7 +192,7 @@
 			i++
 			c.parked = true
 			continue
-		case (s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
+		case c.fullness >= 1 || (s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
 			c.shed(s)
 		default:
 			c.open(s)
@@ -510,10 +510,6 @@
 	return (r.quiet >= quietTries || r.quiet > 0 && c.doubted(r)) && float64(c.now-r.quietSince) > c.silence()
 }
 
-func (c *coordinator) warm(r *replica) bool {
-	return r.since == 0 || c.now >= r.since+c.facts.span("Safety.Cold")
-}
-
 // coldRoom guards against pushing over a replica that has just started: it gets that share of the mean own
 // parts a replica answers which it can surely do by now. The means of all co-ordinators add up to what one
 // really answers, so all together keep to it, however many; credit starts by chance, not at once nor never.
@@ -810,7 +806,11 @@
 func (c *coordinator) shed(s *search) {
 	advice := int64(0)
 	if c.facts.yes("Permissions.RetryAfter") {
-		advice = min(int64(c.behind/c.speed()), c.facts.span("Permissions.MaxRetryAfter"))
+		wait := c.behind / c.speed()
+		if c.fullness >= 1 { // room comes as answers go out
+			wait = max(wait, c.common())
+		}
+		advice = min(int64(wait), c.facts.span("Permissions.MaxRetryAfter"))
 	}
 	c.out.Shed(s.id, advice)
 	c.end(s)
@@ -844,8 +844,8 @@
 	return l.now+ahead/l.speed+l.spell > float64(s.useful)
 }
 
-// trim guards against overload: what cannot be answered in useful time is turned away while its client can
-// still ask again, beyond a tenant's share first. Harm: a wait judged too long sheds needlessly.
+// trim guards against overload: what cannot be answered in useful time, or held, is shed while its client
+// can still ask again, beyond a tenant's share first. Harm: a wait judged too long sheds needlessly.
 func (c *coordinator) trim() {
 	if len(c.queue) > trimMany && c.now < c.trimmed+trimEach {
 		return
@@ -855,7 +855,7 @@
 	if len(c.queue) > 0 {
 		late := c.lateness()
 		for _, s := range c.queue {
-			if !s.over && (s.beyond || late.of(s, float64(ahead))) {
+			if !s.over && (s.beyond || c.fullness >= 1 || late.of(s, float64(ahead))) {
 				c.shed(s)
 			}
 			if s.over {
@@ -929,6 +929,3 @@
 	all := c.holders(shard)
 	return slices.ContainsFunc(all[c.chance.Intn(len(all)):][:1], c.doubted)
 }
-
-// doubted tells whether a replica was said to be bad and has not answered here since.
-func (c *coordinator) doubted(r *replica) bool { return c.now < r.doubtTo }
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -217,6 +217,10 @@
 			s.search(1000+s.next, w[3:])
 			s.to(s.now + s.num(w[2])*10)
 		}
+	case "held":
+		share, err := strconv.ParseFloat(w[1], 64)
+		require.NoError(s.t, err)
+		s.turn(func() { s.c.Held(share) })
 	case "second":
 		s.steps[uint64(s.num(w[1]))] = w[2]
 	case "withdraw":
--- a/logic/state.go
+++ b/logic/state.go
@@ -47,8 +47,9 @@
 	further  []int64 // further sub-requests in it
 	askWait  int64
 	parked   bool
-	trimmed  int64 // when the queue was last looked at
-	trialAt  int64 // when the next trial part may go to any suspect
+	fullness float64 // share of the room for searches and answers that is in use
+	trimmed  int64   // when the queue was last looked at
+	trialAt  int64   // when the next trial part may go to any suspect
 
 	sets, reach int // of shards, as the site told at start
 
