--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -228,8 +228,7 @@
 
 // wrote is told of each answer that is out whole.
 func (c *client) wrote(p *parcel) error {
-	c.unsent.Add(-p.size)
-	c.o.unsent.Add(-p.size)
+	c.holds(-len(*p.b))
 	if p.last || c.stopping.Err() != nil {
 		c.over.Store(true)
 		half, ok := c.conn.(interface{ CloseWrite() error })
@@ -257,12 +256,15 @@
 
 // give hands an answer to the writer; until it is taken, it is held.
 func (c *client) give(p *parcel) {
-	p.size = int64(len(*p.b))
-	c.unsent.Add(p.size)
-	c.o.unsent.Add(p.size)
+	c.holds(len(*p.b))
 	c.put(p)
 }
 
+func (c *client) holds(n int) {
+	c.unsent.Add(int64(n))
+	c.o.unsent.Add(int64(n))
+}
+
 // refusal is what a request gets that can be read and not be used.
 type refusal struct {
 	status int
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -102,8 +102,7 @@
 // parcel is one message on its way to a socket.
 type parcel struct {
 	b     *[]byte
-	last  bool  // the connection ends after it
-	size  int64 // bytes, where who gave it counts them
+	last  bool // the connection ends after it
 	stage atomic.Int32
 }
 
@@ -210,8 +209,9 @@
 			return stuck
 		}
 		p.stage.Store(written)
+		err := wrote(p)
 		giveBack(p.b)
-		if err := wrote(p); err != nil {
+		if err != nil {
 			return err
 		}
 	}
