--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -73,7 +73,7 @@
 	}
 	var more *coordinator.Peers
 	var fronts []coordinator.Front
-	hosts := map[string]coordinator.HostKind{}
+	hosts, owners := map[string]coordinator.HostKind{}, 1
 	if s.Installation != "" {
 		file, err := installation.Read(s.Installation)
 		if err != nil {
@@ -86,6 +86,7 @@
 		if fronts, err = frontsOf(file); err != nil {
 			return noStart(err)
 		}
+		owners = max(1, file.Owners)
 		for kind, h := range file.Hosts {
 			hosts[kind] = coordinator.HostKind{Index: h.Index, Placed: h.Placed}
 		}
@@ -95,9 +96,9 @@
 	if err != nil {
 		return noStart(err)
 	}
-	if err := plan.Serve(ctx, coordinator.Means{Listener: ln, Dial: (&net.Dialer{}).DialContext,
+	if err := plan.Several(ctx, coordinator.Means{Listener: ln, Dial: (&net.Dialer{}).DialContext,
 		Clock: coordinator.SystemClock{}, Log: log, Peers: more, Fronts: fronts, Hosts: hosts,
-		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, log)}); err != nil {
+		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, log)}, owners); err != nil {
 		log.Error("failed", "error", err)
 		return exit(1)
 	}
--- /dev/null
+++ b/coordinator/several.go
@@ -0,0 +1,178 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"net"
+	"strconv"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Several serves with so many co-ordinators in one process, each with an owner and a module of its own and its part of
+// the clients' connections, descriptors, memory and budget: an owner takes one core at the most. To the rules that all
+// co-ordinators keep together they are so many more, and that is what their settings say. Other fronts and peers are
+// the first one's.
+func (p *Plan) Several(ctx context.Context, m Means, n int) error {
+	if n <= 1 {
+		return p.Serve(ctx, m)
+	}
+	shared := newShared(m.Listener, n)
+	plans := make([]chan *Plan, n)
+	for i := range plans {
+		plans[i] = make(chan *Plan)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	over, end := context.WithCancel(context.WithoutCancel(ctx))
+	var left sync.WaitGroup
+	for i := range n {
+		own := m
+		own.Listener, own.Plans = shared.shares[i], plans[i]
+		own.Log = slog.New(m.Log.Handler().WithAttrs([]slog.Attr{slog.Int("owner", i)}))
+		if i > 0 {
+			own.Fronts, own.Peers = nil, nil
+		}
+		left.Add(1)
+		g.Go(func() error {
+			defer left.Done()
+			return p.share(i, n).Serve(ctx, own)
+		})
+	}
+	g.Go(func() error {
+		shared.deal()
+		return nil
+	})
+	g.Go(func() error {
+		left.Wait()
+		end()
+		return nil
+	})
+	g.Go(func() error {
+		for {
+			select {
+			case next := <-m.Plans:
+				for i, to := range plans {
+					select {
+					case to <- next.share(i, n):
+					case <-over.Done():
+						return nil
+					}
+				}
+			case <-over.Done():
+				return nil
+			}
+		}
+	})
+	return g.Wait()
+}
+
+// share is the plan of one of several.
+func (p *Plan) share(i, n int) *Plan {
+	own := *p
+	own.Sockets, own.MemoryMB = p.Sockets/n, max(1, p.MemoryMB/n)
+	own.seed = p.seed + int64(i)*seedStep
+	own.facts = maps.Clone(p.facts)
+	scale := func(name string, by float64) {
+		if _, stated := own.facts[name]; stated {
+			own.facts[name] = strconv.FormatFloat(p.fact(name)*by, 'g', -1, 64)
+		}
+	}
+	scale("Balancers", float64(n))
+	scale("Safety.ExtraFloor", 1/float64(n))
+	return &own
+}
+
+// shared deals the connections of one listener to several.
+type shared struct {
+	from   net.Listener
+	shares []*dealt
+
+	mu   sync.Mutex
+	open int
+}
+
+// dealt is one's part of a listener.
+type dealt struct {
+	*shared
+	conns chan taker
+	shut  chan struct{}
+	once  sync.Once
+}
+
+// taker is one connection, or why there is none.
+type taker struct {
+	conn net.Conn
+	err  error
+}
+
+func newShared(from net.Listener, n int) *shared {
+	s := &shared{from: from, open: n}
+	for range n {
+		s.shares = append(s.shares, &dealt{shared: s, conns: make(chan taker), shut: make(chan struct{})})
+	}
+	return s
+}
+
+func (d *dealt) Accept() (net.Conn, error) {
+	select {
+	case t := <-d.conns:
+		return t.conn, t.err
+	case <-d.shut:
+		return nil, net.ErrClosed
+	}
+}
+
+func (d *dealt) Addr() net.Addr { return d.from.Addr() }
+
+// Close gives up one's part; the last closes the listener.
+func (d *dealt) Close() error {
+	last := false
+	d.once.Do(func() {
+		close(d.shut)
+		d.mu.Lock()
+		d.open--
+		last = d.open == 0
+		d.mu.Unlock()
+	})
+	if last {
+		return d.from.Close()
+	}
+	return nil
+}
+
+// deal hands connections round: to the next in turn that is waiting for one, or else to the first that is. Guards
+// against one that has no room and would hold up the others.
+func (s *shared) deal() {
+	for turn := 0; ; turn++ {
+		conn, err := s.from.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if !s.hand(taker{conn, err}, turn) && conn != nil {
+			conn.Close()
+		}
+	}
+}
+
+func (s *shared) hand(t taker, turn int) bool {
+	n := len(s.shares)
+	for i := range n {
+		select {
+		case s.shares[(turn+i)%n].conns <- t:
+			return true
+		default:
+		}
+	}
+	for i := range n { // all are busy for the moment
+		d := s.shares[(turn+i)%n]
+		select {
+		case d.conns <- t:
+			return true
+		case <-d.shut:
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordinator/several_test.go
@@ -0,0 +1,80 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Several owners behind one listener answer each search once and whole, share clients out, follow a new plan, and end
+// together with what they hold answered.
+func TestSeveralOwners(t *testing.T) {
+	r := start(t, 256, nil) // its hosts and list serve the several too
+	ln := listen(t)
+	var log journal
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	plans, ended := make(chan *Plan), make(chan error, 1)
+	go func() {
+		ended <- r.plan.Several(ctx, Means{Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
+			Log: NewLog(&log, false, slog.LevelInfo), Plans: plans}, 3)
+	}()
+	own := &rig{t: t, addr: ln.Addr().String(), log: &log}
+	own.eventually("all serve", func() bool { return strings.Count(log.String(), "event=serving") == 3 })
+	var g sync.WaitGroup
+	for i := range 12 {
+		c := own.call()
+		g.Go(func() {
+			for k := range 20 {
+				c.want(fmt.Sprintf("s%d-%d", i, k), "all", http.StatusOK, wholeOfAll)
+			}
+		})
+	}
+	g.Wait()
+	require.Equal(t, 12*20*4, r.parts(), "each part of each search went out once")
+	plans <- r.plan
+	own.logged("event=reloaded")
+	own.eventually("all have the plan", func() bool { return strings.Count(log.String(), "event=reloaded") == 3 })
+	gate := make(chan struct{})
+	for _, h := range r.replicas {
+		h.Set(func(a asked) { go func() { <-gate; a.Good() }() })
+	}
+	last := []*caller{own.call(), own.call(), own.call()}
+	for i, c := range last {
+		c.send(request(fmt.Sprint("last", i), "all", "", fourParts))
+	}
+	own.eventually("parts are out", func() bool { return r.parts() >= 12*20*4+12 })
+	stop()
+	time.AfterFunc(50*time.Millisecond, func() { close(gate) })
+	for _, c := range last {
+		status, _, text, _ := c.answer()
+		require.Equal(t, 200, status)
+		require.JSONEq(t, wholeOfAll, text)
+	}
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(patience):
+		require.Fail(t, "does not end", log.String())
+	}
+	r.end()
+}
+
+// To all others several owners are so many co-ordinators, with one's descriptors, memory and budget between them.
+func TestSharesOfAPlan(t *testing.T) {
+	p := &Plan{Sockets: 100, MemoryMB: 190, seed: 5, facts: map[string]string{"Balancers": "3", "Safety.ExtraFloor": "6"}}
+	own := p.share(1, 4)
+	require.Equal(t, []any{25, 47, "12", "1.5"}, []any{own.Sockets, own.MemoryMB, own.facts["Balancers"], own.facts["Safety.ExtraFloor"]})
+	require.NotEqual(t, p.seed, own.seed)
+	require.Equal(t, "3", p.facts["Balancers"])
+	delete(p.facts, "Safety.ExtraFloor")
+	require.NotContains(t, p.share(0, 4).facts, "Safety.ExtraFloor")
+}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -65,6 +65,7 @@
 	roomLeast    = 2 << 20                 // goal is the collector's, the rest connections. Some searches always fit
 	searchBytes  = 2 << 10                 // that a search holds, here and in the module, beside its text
 	partBytes    = 1 << 10                 // and each part of it, beside its value
+	seedStep     = 1 << 32                 // between the seeds of several owners
 	headRoom     = 512                     // bytes for the head of an answer
 	nameMore     = 24                      // bytes of a part's id behind its search's: a dot, a number, the step
 	listMost     = 256                     // bytes of a part's list that need no room of their own
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -30,6 +30,7 @@
 	rateLow     = 1024           // bytes a second under which no report comes through in time
 	cpuMost     = 1.0            // seconds a second: one core is what a co-ordinator has
 	indicesMost = 64             // indices of a front
+	ownersMost  = 64             // owners in a process: cores of the machines there are
 	jobsMost    = 64             // jobs of a kind at once
 	defaultRate = 4 << 20        // bytes a second for peers: a report of 10,000 hosts in a quarter of a second
 	defaultCPU  = 0.2            // seconds a second: searches keep the rest
@@ -42,6 +43,7 @@
 	OpenSearch *OpenSearch     `yaml:"opensearch"`
 	Hosts      map[string]Host `yaml:"hosts"` // by the list's kind: those that do not speak the platform's frames
 	Background map[string]Work `yaml:"background"`
+	Owners     int             `yaml:"owners"` // co-ordinators in the process, one for each core it has; 1 where left out
 	Log        Log             `yaml:"log"`
 }
 
@@ -152,6 +154,9 @@
 	}
 	c.background(f)
 	c.log(f)
+	if f.Owners < 0 || f.Owners > ownersMost {
+		c.fault("$.owners", "%d is not from 1 to %d", f.Owners, ownersMost)
+	}
 	return f, errors.Join(c.faults...)
 }
 
--- a/lab/cost.go
+++ b/lab/cost.go
@@ -47,6 +47,8 @@
 	nodeFront    = "CHALKLAB_FRONT"
 	nodeFloor    = "CHALKLAB_FLOOR"   // hosts of the plain program that is to run in the co-ordinator's place
 	nodeCounts   = "CHALKLAB_COUNTS"  // count what is asked of sockets
+	nodeOwners   = "CHALKLAB_OWNERS"  // in the process
+	nodeCores    = "CHALKLAB_CORES"   // that it runs on
 	nodeProfile  = "CHALKLAB_PROFILE" // a file for the CPU profile; that of allocations is beside it
 )
 
@@ -158,9 +160,13 @@
 		}
 		defer stop()
 	}
-	return plan.Serve(ctx, coordinator.Means{Fronts: []coordinator.Front{front},
+	owners, _ := strconv.Atoi(os.Getenv(nodeOwners))
+	if cores, err := strconv.Atoi(os.Getenv(nodeCores)); err == nil {
+		runtime.GOMAXPROCS(cores)
+	}
+	return plan.Several(ctx, coordinator.Means{Fronts: []coordinator.Front{front},
 		Hosts: map[string]coordinator.HostKind{searchKind: {Index: "members"}}, Listener: ln, Dial: dial,
-		Clock: coordinator.SystemClock{}, Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Peers: more})
+		Clock: coordinator.SystemClock{}, Log: coordinator.NewLog(io.Discard, false, slog.LevelError), Peers: more}, owners)
 }
 
 // tellCounts answers each line asked for with the counts so far.
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -32,6 +32,7 @@
 	"learning":   Learning,
 	"memory":     Memory,
 	"ordinary":   Ordinary,
+	"owners":     Owners,
 	"peers":      PeerCost,
 	"opensearch": OpenSearch,
 }
