--- /dev/null
+++ b/coordinator/bodies_test.go
@@ -0,0 +1,85 @@
+package coordinator
+
+import (
+	"bytes"
+	"math"
+	"net/url"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/stretchr/testify/require"
+)
+
+// byMaps reads a body as it was read before, by maps: what FuzzBody holds the reader against.
+func byMaps(body []byte, shards int) (list []int, weights []float64, text string, ok bool) {
+	all, err := object(body)
+	if err != nil {
+		return nil, nil, "", false
+	}
+	items, _ := all["ranges"].([]any)
+	text, ok = all["predicate"].(string)
+	if len(items) == 0 || !ok || !utf8.Valid(body) ||
+		strings.ContainsRune(text, utf8.RuneError) && !bytes.ContainsRune(body, utf8.RuneError) {
+		return nil, nil, "", false
+	}
+	seen, sum := map[int]bool{}, 0.0
+	for _, item := range items {
+		m, _ := item.(map[string]any)
+		shard, ok1 := amount(m["range"])
+		weight, ok2 := amount(m["portion"])
+		n := int(shard)
+		if !ok1 || !ok2 || shard != math.Trunc(shard) || n < 0 || n >= shards || seen[n] || weight <= 0 || weight > 1+weightSlack {
+			return nil, nil, "", false
+		}
+		seen[n], sum = true, sum+weight
+		list, weights = append(list, n), append(weights, weight)
+	}
+	return list, weights, text, math.Abs(sum-1) <= weightSlack
+}
+
+// Whatever a client sends, the reader without maps takes what the one with maps took, and nothing else.
+func FuzzBody(f *testing.F) {
+	for _, text := range []string{fourParts, `{}`, `[]`, `{"ranges":[],"predicate":"x"}`, `{"ranges":[{"range":0,"portion":1}]}`,
+		`{"ranges":[{"range":0,"portion":1}],"predicate":"x"} `, `{"ranges":[{"range":0,"portion":1}],"predicate":"x"}{}`,
+		`{"ranges":[{"range":0,"portion":1}],"predicate":"x","ranges":[{"range":1,"portion":1}]}`,
+		`{"ranges":[{"range":0,"portion":1}],"predicate":"x","ranges":7}`, `{"ranges":[{"range":0,"range":1,"portion":1}],"predicate":"x"}`,
+		`{"ranges":[{"range":0,"portion":1}],"predicate":7}`, `{"ranges":[{"range":0.5,"portion":1}],"predicate":"x"}`,
+		`{"ranges":[{"range":-1,"portion":1}],"predicate":"x"}`, `{"ranges":[{"range":1e400,"portion":1}],"predicate":"x"}`,
+		`{"ranges":[{"range":"0","portion":1}],"predicate":"x"}`, `{"ranges":[0],"predicate":"x"}`, `{"ranges":[null],"predicate":"x"}`,
+		`{"ranges":[{"r\u0061nge":0,"portion":1.0}],"pr\u0065dicate":"\u00e9\n"}`, `{"ranges":[{"range":0,"portion":1}],"predicate":"\ud800"}`,
+		`{"ranges":[{"range":0,"portion":1}],"predicate":"` + "\xff" + `"}`, `{"ranges":[{"range":0,"portion":1},],"predicate":"x"}`,
+		`{"ranges":[{"range":0,"portion":0.5},{"range":0,"portion":0.5}],"predicate":"x"}`, `{"ranges":[{"range":1E0,"portion":1}],"predicate":"x"}`,
+		`{"ranges":[{"range":-0,"portion":1}],"predicate":"x"}`, `{"ranges":[{"range":0,"portion":1}],"predicate":"x"`, ``, `null`,
+		`{"ranges":[{"range":0,"portion":1,"hash":{"a":[1,{"b":null}]}}],"other":[[]],"predicate":""}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		list, weights, text, ok := byMaps(body, 8)
+		s := &search{}
+		err := s.read(body, 8)
+		require.Equal(t, ok, err == nil, "%q: %v", body, err)
+		if ok {
+			require.Equal(t, list, s.shards)
+			require.Equal(t, weights, s.weights)
+			require.Equal(t, text, string(s.text))
+		}
+	})
+}
+
+// A target is taken apart as the library would.
+func FuzzPlace(f *testing.F) {
+	for _, text := range []string{"/a?k=7f", "/a", "/a?k=", "/a?x=1&k=2", "/a%20b?k=%41", "/a?k=1&k=2", "/a?k=a+b", "*", "", "/a?k=1#f",
+		"http://x/a?k=1", "/a?k=1;x", "//x/y?k=z", "/\x7f"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		path, key, err := place(target)
+		want, err2 := url.ParseRequestURI(target)
+		require.Equal(t, err2 == nil, err == nil, "%q: %v, %v", target, err, err2)
+		if err == nil {
+			require.Equal(t, want.Path, path, "%q", target)
+			require.Equal(t, want.Query().Get("k"), key, "%q", target)
+		}
+	})
+}
--- a/coordinator/held_test.go
+++ b/coordinator/held_test.go
@@ -1,11 +1,18 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"net"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"chalkring/internal/http1"
 )
 
 // Guards against memory that follows rate times client timeout: clients here wait a minute, and once all have
@@ -77,3 +84,62 @@
 	r.call().want("third", "all", 200, wholeOfAll)
 	r.end()
 }
+
+// pipes are connections whose writes wait until the other side reads.
+type pipes struct {
+	conns chan net.Conn
+	once  sync.Once
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	if conn, ok := <-p.conns; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.conns) }); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A client that does not read its answer holds that answer and nothing else: others are served, what it holds is
+// counted, and is released when it reads or leaves.
+func TestSlowReader(t *testing.T) {
+	r := start(t, 256, nil)
+	p, look, ended := &pipes{conns: make(chan net.Conn)}, make(chan *owner, 1), make(chan error, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		ended <- r.plan.Serve(ctx, Means{Listener: p, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
+			Log: NewLog(r.log, false, slog.LevelInfo), look: look})
+	}()
+	o := <-look
+	call := func() *caller {
+		own, other := net.Pipe()
+		p.conns <- other
+		t.Cleanup(func() { own.Close() })
+		return &caller{own, r, http1.NewReader(own, make([]byte, bufferSize))}
+	}
+	slow, gone, sound := call(), call(), call()
+	slow.send(request("slow", "all", "", fourParts))
+	r.eventually("an answer is held", func() bool { return o.unsent.Load() > 0 })
+	one := o.unsent.Load()
+	gone.send(request("gone", "all", "", fourParts))
+	r.eventually("two are", func() bool { return o.unsent.Load() == 2*one })
+	for i := range 5 {
+		sound.want(fmt.Sprint("sound", i), "all", 200, wholeOfAll)
+	}
+	r.eventually("no more than two are", func() bool { return o.unsent.Load() == 2*one })
+	status, _, text, _ := slow.answer()
+	require.Equal(t, 200, status)
+	require.JSONEq(t, wholeOfAll, text)
+	r.eventually("one is", func() bool { return o.unsent.Load() == one })
+	gone.Close()
+	r.eventually("none is", func() bool { return o.unsent.Load() == 0 })
+	stop()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(patience):
+		require.Fail(t, "does not end")
+	}
+	r.end()
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -469,8 +469,8 @@
 	common := c.usualLog
 	more, slower := c.heard(r.short, paceSpan, n)
 	for _, t := range r.tries {
-		if age := math.Log(float64(max(1, c.now-t.sent))); age > common {
-			n, total = n+1, total+age
+		if age := float64(c.now - t.sent); age > c.usual {
+			n, total = n+1, total+math.Log(age)
 		}
 	}
 	return math.Exp((total+slower+(more+priorParts)*common)/(n+more+priorParts) - common)
