--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -185,7 +185,7 @@
 	s := c.search
 	c.o.post(func() {
 		if s != nil && !s.over {
-			c.link.behind = c.o.withdraw(s)
+			c.link.behind = append(c.link.behind, c.o.withdraw(s)...)
 			c.o.log.often("sent_ahead", "sent_ahead", "client", c.conn.RemoteAddr().String())
 			c.respond(400, "", []byte("{}"), false)
 		}
@@ -357,9 +357,7 @@
 
 // answer writes a final answer; an owner's call.
 func (c *client) answer(r result, keep bool) {
-	if len(r.behind) > 0 {
-		c.link.behind = r.behind
-	}
+	c.link.behind = append(c.link.behind, r.behind...)
 	switch r.kind {
 	case taken:
 		c.respond(409, "", []byte("{}"), keep)
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -122,49 +123,34 @@
 	end     context.CancelCauseFunc
 	ctx     context.Context
 
-	waiter atomic.Pointer[chan struct{}] // closed once what is being written is out, or the writer has ended
-	ended  atomic.Bool                   // it has
-	behind []behind                      // what has to be out before the next message; who puts that sets it
+	behind []behind    // what has to be out before the next message; who puts that sets it
+	ended  atomic.Bool // the writer has
 }
 
 // behind is a message that is begun on another connection.
 type behind struct {
-	l   *link
-	out <-chan struct{}
+	l *link
+	p *parcel
 }
 
-// after gives what tells when a message that is begun is out; false where it is no longer begun.
-func (l *link) after(p *parcel) (behind, bool) {
-	out := make(chan struct{})
-	if !l.waiter.CompareAndSwap(nil, &out) {
-		if other := l.waiter.Load(); other != nil {
-			out = *other
-		} else if !l.waiter.CompareAndSwap(nil, &out) { // let go just now, and asked for anew: one owner asks
-			return behind{}, false
-		}
-	}
-	return behind{l, out}, p.stage.Load() == begun && !l.ended.Load()
-}
-
-// letGo tells those that wait.
-func (l *link) letGo() {
-	if out := l.waiter.Swap(nil); out != nil {
-		close(*out)
-	}
-}
+// out tells that it is out whole, or never will be.
+func (b behind) out() bool { return b.p.stage.Load() != begun || b.l.ended.Load() }
 
 // settle waits until all is out. Guards against a part that is sent on after its search's final answer: its write may
 // have been begun and not done, in a process that is held up between the two. One that does not come out ends its
-// connection.
+// connection. It mostly is out at once, so it is looked for and not told of.
 func settle(all []behind) {
 	for _, b := range all {
-		select {
-		case <-b.out:
-			continue
-		case <-time.After(begunMost):
+		for tries := 0; !b.out(); tries++ {
+			switch {
+			case tries < begunTries:
+				runtime.Gosched()
+			case tries == begunTries+int(begunMost/begunLook):
+				b.l.end(retired)
+			default:
+				time.Sleep(begunLook)
+			}
 		}
-		b.l.end(retired)
-		<-b.out
 	}
 }
 
@@ -194,10 +180,7 @@
 	g.Go(func() error { return read(ctx) })
 	g.Go(func() error {
 		var together []*parcel
-		defer func() {
-			l.ended.Store(true)
-			l.letGo()
-		}()
+		defer l.ended.Store(true)
 		for {
 			select {
 			case <-ctx.Done():
@@ -254,10 +237,10 @@
 	}
 	if len(l.behind) > 0 {
 		settle(l.behind)
-		l.behind = nil
+		clear(l.behind)
+		l.behind = l.behind[:0]
 	}
 	n, err := conn.Write(*out)
-	defer l.letGo() // after the stages
 	for _, p := range all {
 		if n -= len(*p.b); n < 0 { // it is not out whole, nor is what is behind it
 			return stuck
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -803,7 +803,7 @@
 		sub.call.parcel.stage.Store(stage)
 		first := o.finish(s)
 		require.Equal(t, ends, len(first) == 1, "stage %d", stage)
-		context.AfterFunc(l.ctx, l.letGo) // as its writer would
+		context.AfterFunc(l.ctx, func() { l.ended.Store(true) }) // as its writer would
 		settle(first)
 		require.Equal(t, ends, l.ctx.Err() != nil, "stage %d", stage)
 	}
@@ -890,8 +890,8 @@
 	p := &parcel{b: &text}
 	l.put(p)
 	require.Eventually(t, func() bool { return p.stage.Load() == begun }, patience, time.Millisecond)
-	b, still := l.after(p)
-	require.True(t, still)
+	b := behind{l, p}
+	require.False(t, b.out())
 	settled := make(chan bool, 1)
 	go func() { settle([]behind{b}); settled <- p.stage.Load() == written }()
 	select {
@@ -901,16 +901,11 @@
 	}
 	other.Read(make([]byte, 16))
 	require.True(t, <-settled, "out")
-	_, still = l.after(p)
-	require.False(t, still, "nothing to wait for")
 
 	next := &parcel{b: &text}
 	l.put(next)
 	require.Eventually(t, func() bool { return next.stage.Load() == begun }, patience, time.Millisecond)
-	b, still = l.after(next)
-	require.True(t, still)
-	settle([]behind{b}) // nobody reads: after a while its connection ends
+	settle([]behind{{l, next}}) // nobody reads: after a while its connection ends
 	require.Equal(t, retired, <-ended)
-	_, still = l.after(next)
-	require.False(t, still, "its connection has ended")
+	require.True(t, l.ended.Load())
 }
--- a/coordinator/door.go
+++ b/coordinator/door.go
@@ -155,7 +155,7 @@
 		s.weights = append(s.weights, 1/float64(len(a.Shards)))
 	}
 	s.reply = func(r result) {
-		first = r.behind
+		first = slices.Clone(r.behind)
 		g := Given{Kind: r.kind, Whole: r.whole, RetryIn: time.Duration(r.retryIn) * tenth, Sent: r.sent}
 		for _, p := range r.parts {
 			g.Parts = append(g.Parts, GivenPart{Shard: p.shard, Read: p.read})
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -23,6 +23,7 @@
 // connections and discovery post closures to queue. It waits for nothing but that queue and its next wake,
 // so they may wait for it. The queue is bounded by queueRoom; while it is full, sockets are not read.
 type owner struct {
+	begun []behind // room for finish
 	Means
 	log    *notes
 	plan   *Plan
@@ -424,7 +425,10 @@
 	o.bytes += int64(n)
 }
 
+// finish forgets a search and gives what has to be out before its final answer is, until the next one is finished.
 func (o *owner) finish(s *search) (first []behind) {
+	first = o.begun[:0]
+	defer func() { o.begun = first }()
 	o.hold(s, -int(s.bytes))
 	s.over = true
 	delete(o.searches, s.id)
@@ -441,7 +445,7 @@
 			// Nothing is sent after the final answer: what is begun has to be out before that is.
 			if l := sub.call.line; o.takeBack(sub) {
 				o.laterLanded(sub, "Ignored")
-			} else if b, still := l.after(sub.call.parcel); still {
+			} else if b := (behind{l.link, sub.call.parcel}); !b.out() {
 				first = append(first, b)
 			}
 		}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -68,6 +68,8 @@
 	partBytes    = 1 << 10                 // and each part of it, beside its value
 	seedStep     = 1 << 32                 // between the seeds of several owners
 	begunMost    = 20 * time.Millisecond   // for a frame that is begun to be out: a socket takes one at once
+	begunTries   = 16                      // looks for it that let others run in between
+	begunLook    = 100 * time.Microsecond  // between two after that
 	headRoom     = 512                     // bytes for the head of an answer
 	nameMore     = 24                      // bytes of a part's id behind its search's: a dot, a number, the step
 	listMost     = 256                     // bytes of a part's list that need no room of their own
