clients and ordinary ask closed-loop clients by one loop

measure clients had the loop over numbers of clients that measure ordinary wrote again as fleet.table.

--- a/lab/clients.go
+++ b/lab/clients.go
@@ -9,7 +9,6 @@
 	"math/rand"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,26 +32,14 @@
 		return Result{}, err
 	}
 	defer f.close()
-	p, err := f.launch(ctx, seed)
+	rows, err := f.table(ctx, seed, "", closedFor)
 	if err != nil {
 		return Result{}, err
 	}
 	out, best, last := Result{Fields: map[string]any{}}, 0.0, 0.0
-	for _, n := range closedLoops {
-		before := p.cpu()
-		t := closedLoop(ctx, p.addr, n, seed, closedFor)
-		took, shed := t.took, t.shed
-		rate := float64(len(took)) / closedFor.Seconds()
-		best, last = max(best, rate), rate
-		fields := map[string]any{"answered_per_s": round(rate), "shed": shed, "resident_mb": round(p.resident()),
-			"cpu_us": round(1e6 * (p.cpu() - before) / float64(max(1, len(took)+shed)))}
-		if slices.Sort(took); len(took) > 0 {
-			fields["p50_ms"], fields["p99_ms"] = round(1000*took[len(took)/2].Seconds()), round(1000*took[len(took)*99/100].Seconds())
-		}
-		out.Fields[fmt.Sprintf("clients_%d", n)] = fields
-	}
-	if err := p.end(); err != nil {
-		return Result{}, err
+	for i, r := range rows {
+		best, last = max(best, r.rate), r.rate
+		out.Fields[fmt.Sprintf("clients_%d", closedLoops[i])] = r.fields()
 	}
 	if last < closedLeast*best {
 		out.Missed = append(out.Missed, fmt.Sprintf("%.0f searches/s with %d clients, %.0f at best", last, closedLoops[len(closedLoops)-1], best))
