--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -23,7 +23,6 @@
 // connections and discovery post closures to queue. It waits for nothing but that queue and its next wake,
 // so they may wait for it. The queue is bounded by queueRoom; while it is full, sockets are not read.
 type owner struct {
-	begun []behind // room for finish
 	Means
 	log    *notes
 	plan   *Plan
@@ -44,6 +43,7 @@
 	timers    map[uint64]*moduleWake // the module's, by label
 	spare     []*moduleWake          // that are free
 	due       []*wake                // room for a turn's
+	begun     []behind               // room for what finish gives
 	next      []event                // what the next turn begins with
 	spareNext []event                // room for the one after it
 	armed     <-chan time.Time       // that the owner waits for, at or before the next wake
