--- a/logic/logic.go
+++ b/logic/logic.go
@@ -142,7 +142,8 @@
 func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
 	retry bool) {
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
-	s := &search{id: id, number: number, qtype: qtype, came: c.now, step: 1, slab: make([]part, 0, count)}
+	s := &search{id: id, number: number, qtype: qtype, came: c.now, step: 1, count: count}
+	s.slab = make([]part, 0, count)
 	s.effect, s.parts = c.facts.text[c.facts.of("Classes", qtype, "Effect")], make([]*part, 0, count)
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
 	useful := int64(c.facts.num(c.facts.of("Classes", qtype, "Aim")) * 10)
@@ -168,8 +169,7 @@
 	}
 	p := s.part()
 	p.id, p.s, p.shard, p.weight = id, s, shard, weight
-	s.parts = append(s.parts, p)
-	s.most += weight
+	s.add(p)
 	if s.step == 2 {
 		c.ask(p) // the second step was let in with the first
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -6,6 +6,8 @@
 	"slices"
 )
 
+const shareUnit = 1e-6 // the last decimal of a part's share: the platform tells six
+
 // coordinator is what one co-ordinator holds.
 type coordinator struct {
 	out      Out
@@ -63,6 +65,7 @@
 	qtype          int
 	came, left     int64 // left: when it left the queue, 0 while it waits
 	due, useful    int64 // last moment for a final answer; end of the latency target
+	count          int   // of its parts, in the first step
 	step           int
 	firstWhole     bool
 	over           bool
@@ -101,6 +104,19 @@
 	return &s.slab[len(s.slab)-1]
 }
 
+// add takes a part in. Shares are told as rounded decimals: with the last one they are made to add up to one again.
+// Guards against a whole answer that is never seen as whole: what rounding leaves grows with the parts.
+func (s *search) add(p *part) {
+	s.parts = append(s.parts, p)
+	s.most += p.weight
+	if n := len(s.parts); n == s.count && math.Abs(s.most-1) <= float64(n)*shareUnit {
+		for _, p := range s.parts {
+			p.weight /= s.most
+		}
+		s.most = 1
+	}
+}
+
 // try gives room for one more sub-request.
 func (p *part) try() *try {
 	if len(p.tries) > 0 {
