A final answer waits for begun frames of sub-requests given up before, too

Looked for by reading each way to a final answer with a frame still begun and not out.

Cause found: finish (owner.go) waits for the frames of sub-requests that still have their call ('if sub.call == nil { continue }'). One that was called off or timed out just before has none any more: landed in logic.go calls off a part's other copies before check answers, in the same turn. The last byte of such a frame could come after the answer's. Ruled out by reading: parts sent in the turn of the answer (Send says Ignored, sendCalls skips empty calls), frames not begun (recalled), frames cut with their connection (the writer has ended).

Change: giveUp notes the frame on its search if it is begun and not out; finish adds it to what the answer waits for. TestNothingGivenUpAfterTheAnswer forces that order and fails without the change.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -809,6 +809,22 @@
 	}
 }
 
+// So it does for a frame whose sub-request was given up before: a second copy, say, called off when the first has answered.
+func TestNothingGivenUpAfterTheAnswer(t *testing.T) {
+	for stage, ends := range map[int32]bool{begun: true, written: false} {
+		o := &owner{plan: &Plan{}, searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}}
+		l := &line{link: newLink(context.Background(), 2), r: &replica{id: "a0"}, speaks: frames{}, calls: 1}
+		s := &search{id: 1, name: "q"}
+		p := &part{id: 2, s: s, untold: 1}
+		sub := &subRequest{p: p, name: "q.0", call: &call{line: l, parcel: &parcel{}}}
+		sub.call.subs, l.subs, p.subs, s.parts = []*subRequest{sub}, []*subRequest{sub}, []*subRequest{sub}, []*part{p}
+		o.searches[1], o.parts[2] = s, p
+		sub.call.parcel.stage.Store(stage)
+		o.Cancel(2, 0)
+		require.Equal(t, ends, len(o.finish(s)) == 1, "stage %d", stage)
+	}
+}
+
 // The module hears the same names and texts from the plan as from the simulator's wire.
 func TestSettingsAsOnTheWire(t *testing.T) {
 	p, err := Parse([]byte(`{"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":64,"sockets":99},
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -97,7 +97,8 @@
 	from  []int // shards that were in at the end of the first step
 	parts []*part
 	over  bool
-	bytes int64 // that it holds
+	bytes int64    // that it holds
+	begun []behind // frames of sub-requests given up whose last byte was not out then
 }
 
 // result is a final answer.
@@ -437,6 +438,11 @@
 		o.checks.Delete(s.name)
 		o.checked.Add(-1)
 	}
+	for _, b := range s.begun {
+		if !b.out() {
+			first = append(first, b)
+		}
+	}
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
 			if sub.call == nil {
@@ -451,7 +457,7 @@
 		}
 		o.drop(p)
 	}
-	s.parts, s.text, s.shards, s.weights = nil, nil, nil, nil // a connection keeps its last search while unused
+	s.parts, s.text, s.shards, s.weights, s.begun = nil, nil, nil, nil, nil // a connection keeps its last search while unused
 	return first
 }
 
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -119,9 +119,13 @@
 		return
 	}
 	l := sub.call.line
-	if !o.takeBack(sub) {
+	if c := sub.call; !o.takeBack(sub) {
 		o.leave(sub)
 		l.speaks.cancel(l, sub)
+		// Nothing is sent after the final answer: a frame given up before it may still be on its way out.
+		if b := (behind{l.link, c.parcel}); !b.out() {
+			sub.p.s.begun = append(sub.p.s.begun, b)
+		}
 	}
 	// Guards against a machine that went silent: its open connection would swallow part after part. One new
 	// connection tells more than the old one: it comes up or does not.
