A frame given up after its search's answer is not noted; two tests share their set-up

Read again: the module calls sub-requests off after the final answer too (end -> drop), and giveUp then noted a begun frame on a search that was over. Nobody reads that, and a client's connection keeps its last search while unused: it held the link and parcel for nothing. Noted only while the search is open; TestNothingGivenUpAfterTheAnswer looks at that as well.

TestNothingAfterTheAnswer and its twin set the same state up twice: oneOut makes it for both, their assertions as before.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -790,17 +790,24 @@
 	require.Equal(t, crowded, context.Cause(l.ctx))
 }
 
+// oneOut is a search with one sub-request out, its frame at that stage.
+func oneOut(stage int32) (*owner, *line, *search) {
+	o := &owner{plan: &Plan{}, searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}}
+	l := &line{link: newLink(context.Background(), 2), r: &replica{id: "a0"}, speaks: frames{}, calls: 1}
+	s := &search{id: 1, name: "q"}
+	p := &part{id: 2, s: s, untold: 1}
+	sub := &subRequest{p: p, name: "q.0", call: &call{line: l, parcel: &parcel{}}}
+	sub.call.subs, l.subs, p.subs, s.parts = []*subRequest{sub}, []*subRequest{sub}, []*subRequest{sub}, []*part{p}
+	o.searches[1], o.parts[2] = s, p
+	sub.call.parcel.stage.Store(stage)
+	return o, l, s
+}
+
 // A final answer waits for a frame of its search that is begun, and ends the connection of one that does not come out;
 // one that is out is not waited for, and its connection stays.
 func TestNothingAfterTheAnswer(t *testing.T) {
 	for stage, ends := range map[int32]bool{begun: true, written: false} {
-		o := &owner{searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}}
-		l := &line{link: newLink(context.Background(), 1), r: &replica{id: "a0"}, calls: 1}
-		s := &search{id: 1, name: "q"}
-		p := &part{id: 2, s: s, untold: 1}
-		sub := &subRequest{p: p, name: "q.0", call: &call{line: l, parcel: &parcel{}}}
-		sub.call.subs, l.subs, p.subs, s.parts = []*subRequest{sub}, []*subRequest{sub}, []*subRequest{sub}, []*part{p}
-		sub.call.parcel.stage.Store(stage)
+		o, l, s := oneOut(stage)
 		first := o.finish(s)
 		require.Equal(t, ends, len(first) == 1, "stage %d", stage)
 		context.AfterFunc(l.ctx, func() { l.ended.Store(true) }) // as its writer would
@@ -810,18 +817,17 @@
 }
 
 // So it does for a frame whose sub-request was given up before: a second copy, say, called off when the first has answered.
+// One given up after the answer holds nothing.
 func TestNothingGivenUpAfterTheAnswer(t *testing.T) {
 	for stage, ends := range map[int32]bool{begun: true, written: false} {
-		o := &owner{plan: &Plan{}, searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}}
-		l := &line{link: newLink(context.Background(), 2), r: &replica{id: "a0"}, speaks: frames{}, calls: 1}
-		s := &search{id: 1, name: "q"}
-		p := &part{id: 2, s: s, untold: 1}
-		sub := &subRequest{p: p, name: "q.0", call: &call{line: l, parcel: &parcel{}}}
-		sub.call.subs, l.subs, p.subs, s.parts = []*subRequest{sub}, []*subRequest{sub}, []*subRequest{sub}, []*part{p}
-		o.searches[1], o.parts[2] = s, p
-		sub.call.parcel.stage.Store(stage)
+		o, _, s := oneOut(stage)
 		o.Cancel(2, 0)
 		require.Equal(t, ends, len(o.finish(s)) == 1, "stage %d", stage)
+
+		o, _, s = oneOut(stage)
+		o.finish(s)
+		o.Cancel(2, 0)
+		require.Empty(t, s.begun, "stage %d", stage)
 	}
 }
 
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -123,8 +123,8 @@
 		o.leave(sub)
 		l.speaks.cancel(l, sub)
 		// Nothing is sent after the final answer: a frame given up before it may still be on its way out.
-		if b := (behind{l.link, c.parcel}); !b.out() {
-			sub.p.s.begun = append(sub.p.s.begun, b)
+		if b, s := (behind{l.link, c.parcel}), sub.p.s; !s.over && !b.out() {
+			s.begun = append(s.begun, b)
 		}
 	}
 	// Guards against a machine that went silent: its open connection would swallow part after part. One new
