--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,9 @@
 	leastAll   = 3.0  // parts a replica that the least caps of all together allow: they keep it busy
 	strain     = 0.8  // ease under which the cap comes down to own parts in flight: above them it limits nothing
 
+	trialAll    = 1_000  // between trials of one replica by all co-ordinators: half of what two slow cores can do
+	seenLeast   = 0.3    // past answers from which they tell a replica's time: one of the last 12 s
+	fullRatio   = 16.0   // times the fleet's answer time that a full replica stands for
 	priorParts  = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
 	awayRatio   = 1.6    // answer time of a zone over the quickest's that makes its way slow: load seldom does
 	quietRatio  = 4.0    // silence over the fleet's answer time that makes a suspect: no ordinary part takes it
@@ -40,6 +43,7 @@
 	quietTries  = 2      // parts unanswered meanwhile: a single one may simply be heavy
 	restartSign = 2      // connects failed in a row that show a restart: one may be chance
 	strikeOut   = 3      // errors or refusals in a row that make a suspect: single ones come on good days
+	begunLeast  = 0.025  // of the shortest answer time: a connection lost sooner was lost before the part was begun
 	lostMost    = 2      // dropped connections, and no answer yet, that make a search suspect: one may be chance
 	trialEach   = 3_000  // least wait between trials of any: among hundreds down each part would be one
 	trialWait   = 10_000 // wait before a suspect gets a trial part: a second is a short outage
@@ -63,6 +67,8 @@
 	windowPad = 20      // kept off the windows of rules against rounding
 	usefulPad = 1.4     // spread of a search's time over its mean when asking whether it can still be useful
 	shareSpan = 20_000  // of a tenant's rate that may come at once: bursts of a few seconds are within its share
+	trySlack  = 500     // of a try's time under first tries' that shows what was spent: 50 ms are on the way
+	leaveSpan = 10_000  // from a client's leaving to its new try: it comes at once
 	retryLeft = 0.5     // of the latency target left to a client's new try: its first was shed or came late
 	lateWorth = 0.05    // late share up to which a late answer is not worth going on for
 	restMost  = 50_000  // longest that a refusing replica's own time to come back is kept to: a trial then shows
@@ -142,15 +148,12 @@
 func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
 	retry bool) {
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
-	s := &search{id: id, number: number, qtype: qtype, came: c.now, step: 1, count: count}
+	s := &search{id: id, number: number, qtype: qtype, came: c.now, first: c.now, step: 1, count: count}
 	s.slab = make([]part, 0, count)
 	s.effect, s.parts = c.facts.text[c.facts.of("Classes", qtype, "Effect")], make([]*part, 0, count)
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
-	useful := int64(c.facts.num(c.facts.of("Classes", qtype, "Aim")) * 10)
-	if retry {
-		useful = int64(float64(useful) * retryLeft) // the client has waited since its first try
-	}
-	s.useful = c.now + min(useful, grace) - c.facts.span("Tick")
+	s.tenant = tenant
+	s.useful = c.now + min(c.usefulFor(s, grace, retry), grace) - c.facts.span("Tick")
 	s.need = c.facts.nth("Specifics.NeedByClass", qtype, 1)
 	c.held[id], c.numbers[number] = s, s
 	c.longest = max(c.longest, count)
@@ -161,6 +164,30 @@
 	s.usefulWake = c.after(s.useful-c.now, (*atUse)(s))
 }
 
+// usefulFor is how long an answer may take to be worth its full value. A new try has spent part of that: how much
+// shows where less of the client's time is left than first tries have. Guards against clients that leave early and
+// ask again: such a one will leave after as long again.
+func (c *coordinator) usefulFor(s *search, grace int64, retry bool) int64 {
+	aim, most := c.facts.span(c.facts.of("Classes", s.qtype, "Aim")), c.facts.span(c.facts.of("Classes", s.qtype, "Deadline"))
+	c.tryShare = max(c.tryShare, min(1, float64(grace)/float64(max(most, grace))))
+	spent := int64(0)
+	if float64(grace) < c.tryShare*float64(most)-trySlack && (retry || !c.facts.yes("Clients.MarksRetry") && grace > aim) {
+		spent = most - grace
+	} else if retry {
+		spent = int64(float64(aim) * (1 - retryLeft))
+	}
+	if retry {
+		same := func(l leaver) bool { return l.qtype == s.qtype && l.tenant == s.tenant && l.count == s.count }
+		if i := slices.IndexFunc(c.left, same); i >= 0 && c.now-c.left[i].at <= leaveSpan {
+			l := c.left[i]
+			c.left = slices.Delete(c.left, i, i+1)
+			s.first = l.first
+			return min(l.first+aim-c.now, l.at-l.came-c.facts.span("Tick"))
+		}
+	}
+	return aim - spent
+}
+
 func (c *coordinator) Part(id, number uint64, shard int, weight float64) {
 	c.count(&c.taken)
 	s := c.numbers[number]
@@ -177,6 +204,8 @@
 
 func (c *coordinator) Withdrawn(id uint64) {
 	if s := c.held[id]; s != nil {
+		c.left = slices.DeleteFunc(c.left, func(l leaver) bool { return c.now-l.at > leaveSpan })
+		c.left = append(c.left, leaver{s.qtype, s.tenant, s.count, s.first, s.came, c.now})
 		c.end(s)
 	}
 }
@@ -188,11 +217,13 @@
 		s := c.queue[i]
 		switch {
 		case s.over:
+		case c.hopeless(s):
+			c.shed(s)
 		case c.blocked(s):
 			i++
 			c.parked = true
 			continue
-		case c.fullness >= 1 || (s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
+		case c.fullness >= 1 || s.useful <= c.now && !c.worthLate(s) || (s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
 			c.shed(s)
 		default:
 			c.open(s)
@@ -221,6 +252,51 @@
 	return can < s.need-1e-4
 }
 
+// hopeless tells whether too few of a search's parts would be answered in useful time, by what own parts at their
+// replicas have taken. Guards against shards whose replicas are all overloaded: the work of the others would be lost.
+func (c *coordinator) hopeless(s *search) bool {
+	in := 0.0
+	for _, p := range s.parts {
+		if c.inTime(p) {
+			in += p.weight
+		}
+	}
+	return !c.enough(s, in)
+}
+
+func (c *coordinator) inTime(p *part) bool {
+	end := p.s.useful
+	if end <= c.now {
+		end = p.s.due
+	}
+	return c.wait(p) <= float64(end-c.now)
+}
+
+// wait is how long a part would take at the quickest of its shard's replicas.
+func (c *coordinator) wait(p *part) float64 {
+	least := math.Inf(1)
+	for _, r := range c.holders(p.shard) {
+		least = min(least, c.expected(r))
+	}
+	return least
+}
+
+// expected is how long a replica takes: by its past answers, or the fleet's where they say too little, and by what
+// is still out. After a while it is tried again: by all together, so many co-ordinators there are, ten times a second.
+func (c *coordinator) expected(r *replica) float64 {
+	wait := c.common()
+	if float64(c.now-r.sentAt) > trialAll*c.facts.num("Balancers") {
+		return wait
+	}
+	if n, total := r.past.read(c.now, pastSpan); n >= seenLeast {
+		wait = math.Exp(total / n)
+	}
+	for _, t := range r.tries {
+		wait = max(wait, float64(c.now-t.sent))
+	}
+	return wait
+}
+
 // inFlight counts own parts out but silent ones and those at suspects: silence must not stop the others.
 func (c *coordinator) inFlight() int { return c.flights.count(c.now, c.silence(), c.suspect) }
 
@@ -248,7 +324,9 @@
 	}
 	extras := max(0, len(order)-n-int(c.backlog)) // all that remain while the backlog is under 1
 	for i, o := range order[:n+extras] {
-		if i < n || o.ease > 1 { // an extra that would have to wait takes room from parts that are needed
+		// An extra that would have to wait takes room from parts that are needed; where no copy may run beside a part,
+		// one at a slow replica only adds work.
+		if i < n || o.ease > 1 && (c.facts.yes("Permissions.SecondCopies") || c.wait(o.part) <= c.common()) {
 			c.ask(o.part)
 		}
 	}
@@ -566,6 +644,7 @@
 		c.ways[r.zone].trialAt = c.now + trialWait
 	}
 	r.credit--
+	r.sentAt = c.now
 	if r.turnAt != c.now || r.turn == nil || r.turn.parts >= int(c.facts.opt("Specifics.PerCall", 1)) {
 		r.turn, r.turnAt = &t.own, c.now
 		r.calls++
@@ -582,7 +661,7 @@
 	patience := p.s.due - c.now + answerPad
 	if c.facts.yes("Permissions.SecondCopies") {
 		t.wake = c.after(c.overdueAfter(), (*atOverdue)(t))
-	} else if len(p.tries) < c.maxTries() && p.s.effect != "fragile" {
+	} else if !c.facts.yes("Permissions.Cancelling") && len(p.tries) < c.maxTries() && p.s.effect != "fragile" {
 		patience = min(patience, aloneRatio*c.overdueAfter())
 	}
 	c.out.Send(p.id, r.id, patience)
@@ -679,13 +758,19 @@
 			r.took(c.now, pace)
 		}
 	case "Failed", "QueueFull":
+		if ending == "QueueFull" {
+			r.took(c.now, math.Log(fullRatio*c.common()))
+		}
 		t.maybe, r.restTo = ending == "Failed", max(r.restTo, c.now+min(restMost, again))
 		c.flights.until(r, r.restTo)
 		r.trialAt, r.strikes = max(r.trialAt, r.restTo), r.strikes+1
 	case "ConnectError":
 		r.refused++
 	case "ResetByPeer": // guards against lost connections: their replica has not died for that
-		t.maybe, r.strikes, s.lost = true, r.strikes+1, s.lost+1
+		t.maybe, r.strikes = true, r.strikes+1
+		if float64(wait) > begunLeast*c.shortest() { // sooner is the way's doing, not the part's
+			s.lost++
+		}
 	}
 	if c.suspect(r) && r.trialAt <= c.now {
 		r.trialAt = c.now + trialWait
@@ -707,7 +792,7 @@
 		return
 	case fells && s.flies():
 		return
-	case c.mayRepeat(p):
+	case c.mayRepeat(p) && c.inTime(p):
 		c.ask(p)
 		return
 	}
@@ -821,11 +906,15 @@
 func (c *coordinator) pastUse(s *search) {
 	if !s.over && c.enough(s, s.in) {
 		c.answer(s)
-	} else if !s.over && c.facts.opt(c.facts.of("Classes", s.qtype, "LateShare"), 0) <= lateWorth {
+	} else if !s.over && !c.worthLate(s) {
 		c.giveUp(s)
 	}
 }
 
+func (c *coordinator) worthLate(s *search) bool {
+	return c.facts.opt(c.facts.of("Classes", s.qtype, "LateShare"), 0) > lateWorth
+}
+
 // Shedding. It acts while searches wait for a slot, and on arrival while answers are slow.
 
 // speed is how many parts are answered in a tenth; while rates are young, by Little's law.
--- a/logic/state.go
+++ b/logic/state.go
@@ -53,6 +53,9 @@
 	trimmed  int64   // when the queue was last looked at
 	trialAt  int64   // when the next trial part may go to any suspect
 
+	tryShare float64  // of the client timeout that a first try has
+	left     []leaver // clients that left of late
+
 	sets, reach int // of shards, as the site told at start
 
 	doubtsTo   int64   // some replica was said to be bad, until then
@@ -63,6 +66,8 @@
 type search struct {
 	id, number     uint64
 	qtype          int
+	tenant         int
+	first          int64 // when its client's first try came
 	came, left     int64 // left: when it left the queue, 0 while it waits
 	due, useful    int64 // last moment for a final answer; end of the latency target
 	count          int   // of its parts, in the first step
@@ -73,7 +78,7 @@
 	parts          []*part
 	slab           []part  // room for parts that are still to come
 	in, need, most float64 // weight in, weight for a whole answer, weight that can still come
-	copies, lost   int     // further sub-requests sent; connections dropped under its parts
+	copies, lost   int     // further sub-requests sent; connections dropped under its parts once begun
 	sound          bool    // one of its parts has answered
 	beyond         bool    // more than its tenant's share
 
@@ -126,6 +131,12 @@
 	return &p.first
 }
 
+// leaver is a search whose client left.
+type leaver struct {
+	qtype, tenant, count int
+	first, came, at      int64
+}
+
 // lateness is what the time that a search will end by is reckoned from.
 type lateness struct{ now, speed, spell float64 }
 
@@ -199,6 +210,7 @@
 	strikes    int
 	refused    int // connects that failed since its last answer
 	trialAt    int64
+	sentAt     int64 // the last sub-request
 	credit     float64
 	creditAt   int64
 
