--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 
 	trialAll    = 1_000  // between trials of one replica by all co-ordinators: half of what two slow cores can do
 	seenLeast   = 0.3    // past answers from which they tell a replica's time: one of the last 12 s
+	tailRatio   = 2.0    // times the usual answer of a part that a search of many takes: it waits for the last
 	fullRatio   = 16.0   // times the fleet's answer time that a full replica stands for
 	priorParts  = 2.0    // answers at the fleet's time mixed into a replica's: one slow part proves nothing
 	awayRatio   = 1.6    // answer time of a zone over the quickest's that makes its way slow: load seldom does
@@ -269,7 +270,7 @@
 	if end <= c.now {
 		end = p.s.due
 	}
-	return c.wait(p) <= float64(end-c.now)
+	return !c.thin() || tailRatio*c.wait(p) <= float64(end-c.now)
 }
 
 // wait is how long a part would take at the quickest of its shard's replicas.
@@ -285,6 +286,9 @@
 // is still out. After a while it is tried again: by all together, so many co-ordinators there are, ten times a second.
 func (c *coordinator) expected(r *replica) float64 {
 	wait := c.common()
+	if c.usualN < fewAnswers { // an assumed time must not shut out what would show the true one
+		wait = 0
+	}
 	if float64(c.now-r.sentAt) > trialAll*c.facts.num("Balancers") {
 		return wait
 	}
@@ -312,6 +316,10 @@
 	for _, p := range s.parts { // those that can go now come first, then the heavier, ties by chance
 		o := ordered{p, p.weight + 1e-9*c.chance.Float64()}
 		if c.can(p) {
+			o.ease += 2
+		}
+		// Where no copy may run beside a part, one at a slow replica is work that nothing takes back: others go first.
+		if c.facts.yes("Permissions.SecondCopies") || c.wait(p) <= c.common() {
 			o.ease++
 		}
 		order = append(order, o)
@@ -324,9 +332,7 @@
 	}
 	extras := max(0, len(order)-n-int(c.backlog)) // all that remain while the backlog is under 1
 	for i, o := range order[:n+extras] {
-		// An extra that would have to wait takes room from parts that are needed; where no copy may run beside a part,
-		// one at a slow replica only adds work.
-		if i < n || o.ease > 1 && (c.facts.yes("Permissions.SecondCopies") || c.wait(o.part) <= c.common()) {
+		if i < n || o.ease >= 3 { // an extra that would have to wait takes room from parts that are needed
 			c.ask(o.part)
 		}
 	}
