A part long out is called off and sent to a replica known to be quick, where no copies are allowed

Without a time-out of their own such parts were never rescued. Kept: eight times the usual, the other replica has answered of late no slower than usual and holds nothing of ours, the fleet not strained, not the search heavy, budget as ever.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,11 +54,12 @@
 	trimMany    = 1_000 // searches waiting beyond which they are not looked at in each turn: 6 us a look
 	trimEach    = 10    // but after this time: a ms is no delay to a client
 
-	copyRatio  = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
-	aloneRatio = 2     // times that age: a part's time-out where no copy may run beside it
-	copyLeast  = 1_500 // shortest such age: under it a copy costs more than it brings
-	copyAgain  = 1_000 // wait before an overdue part is looked at again
-	copyParts  = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
+	copyRatio   = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
+	aloneRatio  = 2     // times that age: a part's time-out where no copy may run beside it
+	rescueRatio = 8.0   // age over the fleet's answer time at which a part that no copy may help is called off: a full queue takes less
+	copyLeast   = 1_500 // shortest such age: under it a copy costs more than it brings
+	copyAgain   = 1_000 // wait before an overdue part is looked at again
+	copyParts   = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
 
 	coldPart  = 0.6     // of the stated multiple of what a cold replica can do: the rest is for chance
 	parkLook  = 200     // wait before parts that no replica may take are looked at again
@@ -665,7 +666,7 @@
 	p.tries, r.tries = append(p.tries, t), append(r.tries, t)
 	c.flights.sent(t)
 	patience := p.s.due - c.now + answerPad
-	if c.facts.yes("Permissions.SecondCopies") {
+	if c.facts.yes("Permissions.SecondCopies") || c.facts.yes("Permissions.Cancelling") {
 		t.wake = c.after(c.overdueAfter(), (*atOverdue)(t))
 	} else if !c.facts.yes("Permissions.Cancelling") && len(p.tries) < c.maxTries() && p.s.effect != "fragile" {
 		patience = min(patience, aloneRatio*c.overdueAfter())
@@ -674,6 +675,12 @@
 	c.next[p.id<<8|uint64(t.leg)] = t
 }
 
+// quick tells whether a replica has answered of late, no slower than usual, and has nothing out.
+func (c *coordinator) quick(r *replica) bool {
+	n, total := r.past.read(c.now, pastSpan)
+	return n >= seenLeast && total/n <= c.usualLog && len(r.tries) == 0
+}
+
 func (c *coordinator) overdueAfter() int64 { return int64(max(copyLeast, copyRatio*c.common())) }
 
 // overdue guards against every kind of silence or slowness of one replica, whatever its cause: a part that
@@ -683,14 +690,22 @@
 	if t.settled || p.s.over || p.in || p.dead {
 		return
 	}
-	c.ways[t.r.zone].pace.add(c.now, paceSpan, math.Log(float64(c.now-t.sent)))
+	alone, age := !c.facts.yes("Permissions.SecondCopies"), float64(c.now-t.sent)
+	if !alone {
+		c.ways[t.r.zone].pace.add(c.now, paceSpan, math.Log(age))
+	}
 	r := c.pick(p)
 	lacking, heavy := c.short(p.s)
 	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !lacking ||
-		!c.suspect(t.r) && (len(c.queue) > 0 && !c.silent(t) || heavy) {
+		!c.suspect(t.r) && (len(c.queue) > 0 && !c.silent(t) || heavy) ||
+		alone && (age < rescueRatio*c.common() || !c.quick(r) || c.ease() < strain) {
 		t.wake = c.after(copyAgain, (*atOverdue)(t))
 		return
 	}
+	if alone { // it goes out again once its end is told
+		c.cancel(t)
+		return
+	}
 	c.send(p, r)
 }
 
