--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand"
 	"slices"
 )
 
@@ -81,70 +80,11 @@
 	heardBest = 0.4     // of the usual time, under which no heard shortest counts: alone it closes no slots
 )
 
-func New(out Out) Coordinator {
-	return &coordinator{out: out, fleet: map[string]*replica{}, held: map[uint64]*search{},
-		numbers: map[uint64]*search{}, next: map[uint64]*try{}, wakes: map[uint64]woken{},
-		holding: map[int][]*replica{}, full: map[int]bool{},
-		askWait: askFirst, limit: math.Inf(1), firstUsual: firstPace}
-}
-
-func (c *coordinator) Clock(now int64) { c.now = now; clear(c.full) }
-
-func (c *coordinator) Start(seed int64, settings map[string]string) {
-	c.facts, c.chance = newFacts(settings), rand.New(rand.NewSource(seed))
-	c.sets, c.reach = int(c.facts.num("Specifics.Sets")), int(c.facts.num("Specifics.Reach"))
-	c.tenants = make([]bucket, int(c.facts.opt("Tenants.count", 0)))
-	if c.facts.text["Discovery"] == "subscribe" {
-		c.out.Watch()
-	}
-}
-
-func (c *coordinator) maxTries() int { return int(c.facts.opt("Permissions.MaxAttempts", 1)) }
-
-func (c *coordinator) Entry(id string, zone, kind, cell int, status string, units float64, since int64) {
-	c.fresh = append(c.fresh, func(keep map[string]bool) {
-		keep[id] = true
-		r := c.fleet[id]
-		if r == nil {
-			r = &replica{id: id, since: since, credit: c.chance.Float64(), creditAt: c.now}
-			c.fleet[id] = r
-			c.list = append(c.list, r)
-		} else if since > r.since {
-			r.since, r.pace, r.past, r.quiet, r.strikes, r.refused = since, sum{}, sum{}, 0, 0, 0
-			r.short, r.long, r.doubtTo = hearsay{}, hearsay{}, 0
-			c.flights.stir(r)
-			r.credit, r.creditAt = c.chance.Float64(), c.now
-		}
-		r.cell, r.zone, r.open = cell, zone, status == "healthy"
-		for len(c.ways) <= zone {
-			c.ways = append(c.ways, way{})
-		}
-	})
-}
-
-func (c *coordinator) ListDone(how string, revision int64) {
-	entries := c.fresh
-	c.fresh = nil
-	if how == "Error" {
-		// Guards against a list service that fails: asked again with growing waits, within the rule's time.
-		wait := min(c.askWait, int64(c.facts.opt("Safety.AskWithin", askMost)*5)) // half of it
-		c.askWait = min(2*c.askWait, askMost)
-		c.after(wait+c.chance.Int63n(wait/4+1), doing(c.out.Watch))
-		return
-	}
-	c.askWait = askFirst
-	in := map[string]bool{}
-	for _, enter := range entries {
-		enter(in)
-	}
-	c.list = slices.DeleteFunc(c.list, func(r *replica) bool { return !r.open || !in[r.id] && how != "Partial" })
-	clear(c.holding)
-	clear(c.fleet) // guards against growth: a replica that in left comes back as another
-	for _, r := range c.list {
-		c.fleet[r.id] = r
-	}
-	c.listed = len(c.list)
-	c.flights.quiets = c.listed
+// askAgain guards against a list service that fails: asked again with growing waits, within the rule's time.
+func (c *coordinator) askAgain() {
+	wait := min(c.askWait, int64(c.facts.opt("Safety.AskWithin", askMost)*5)) // half of it
+	c.askWait = min(2*c.askWait, askMost)
+	c.after(wait+c.chance.Int63n(wait/4+1), doing(c.out.Watch))
 }
 
 func (c *coordinator) Search(id uint64, qtype, tenant int, key string, grace int64, number uint64, count int,
@@ -190,20 +130,6 @@
 	return aim - spent
 }
 
-func (c *coordinator) Part(id, number uint64, shard int, weight float64) {
-	c.count(&c.taken)
-	s := c.numbers[number]
-	if s == nil || s.over {
-		return
-	}
-	p := s.part()
-	p.id, p.s, p.shard, p.weight = id, s, shard, weight
-	s.add(p)
-	if s.step == 2 {
-		c.ask(p) // the second step was let in with the first
-	}
-}
-
 func (c *coordinator) Withdrawn(id uint64) {
 	if s := c.held[id]; s != nil {
 		c.left = slices.DeleteFunc(c.left, func(l leaver) bool { return c.now-l.at > leaveSpan })
@@ -728,18 +654,6 @@
 	return have < s.need-1e-4, max(long, float64(s.copies+1)) > math.Ceil(copyParts*sent)
 }
 
-func (c *coordinator) release(t *try) {
-	if !t.out {
-		return
-	}
-	c.flights.landed(t)
-	c.unwake(t.wake)
-	if t.c.out--; t.c.out == 0 {
-		t.r.calls--
-	}
-	t.r.tries = slices.DeleteFunc(t.r.tries, func(o *try) bool { return o == t })
-}
-
 // landed is what every sub-request leaves behind for its outcome.
 func (c *coordinator) landed(t *try, ending string, wait, again int64) {
 	c.release(t)
@@ -870,25 +784,6 @@
 	c.end(s)
 }
 
-// drop calls off what is out of the present step.
-func (c *coordinator) drop(s *search) {
-	for _, p := range s.parts {
-		for _, t := range p.tries {
-			c.cancel(t)
-		}
-		p.dead = true
-	}
-}
-
-func (c *coordinator) end(s *search) {
-	s.over, s.slab = true, nil
-	c.unwake(s.dueWake)
-	c.unwake(s.usefulWake)
-	c.drop(s)
-	delete(c.held, s.id)
-	delete(c.numbers, s.number)
-}
-
 // giveUp ends a search at once with the best that is true of it, shedding where asking again harms nothing.
 func (c *coordinator) giveUp(s *search) {
 	if !s.over && c.enough(s, s.in) {
