--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	leastAll   = 3.0  // parts a replica that the least caps of all together allow: they keep it busy
 	strain     = 0.8  // ease under which the cap comes down to own parts in flight: above them it limits nothing
 
-	trialAll    = 1_000  // between trials of one replica by all co-ordinators: half of what two slow cores can do
+	trialAll    = 1_000  // between trials of one replica by all together: half of what two cores do
 	seenLeast   = 0.3    // past answers from which they tell a replica's time: one of the last 12 s
 	tailRatio   = 2.0    // times the usual answer of a part that a search of many takes: it waits for the last
 	fullRatio   = 16.0   // times the fleet's answer time that a full replica stands for
@@ -43,7 +43,7 @@
 	quietTries  = 2      // parts unanswered meanwhile: a single one may simply be heavy
 	restartSign = 2      // connects failed in a row that show a restart: one may be chance
 	strikeOut   = 3      // errors or refusals in a row that make a suspect: single ones come on good days
-	begunLeast  = 0.025  // of the shortest answer time: a connection lost sooner was lost before the part was begun
+	begunLeast  = 0.025  // of the shortest answer time: lost sooner, the part was not begun
 	lostMost    = 2      // dropped connections, and no answer yet, that make a search suspect: one may be chance
 	trialEach   = 3_000  // least wait between trials of any: among hundreds down each part would be one
 	trialWait   = 10_000 // wait before a suspect gets a trial part: a second is a short outage
@@ -55,7 +55,7 @@
 
 	copyRatio   = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
 	aloneRatio  = 2     // times that age: a part's time-out where no copy may run beside it
-	rescueRatio = 8.0   // age over the fleet's answer time at which a part that no copy may help is called off: a full queue takes less
+	rescueRatio = 8.0   // age over the fleet's answer time for calling off: ordinary queues take less
 	copyLeast   = 1_500 // shortest such age: under it a copy costs more than it brings
 	copyAgain   = 1_000 // wait before an overdue part is looked at again
 	copyParts   = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
@@ -106,14 +106,16 @@
 	s.usefulWake = c.after(s.useful-c.now, (*atUse)(s))
 }
 
-// usefulFor is how long an answer may take to be worth its full value. A new try has spent part of that: how much
-// shows where less of the client's time is left than first tries have. Guards against clients that leave early and
-// ask again: such a one will leave after as long again.
+// usefulFor is how long an answer may take to be worth its full value. A new try has spent part of that: how
+// much shows where less of the client's time is left than first tries have. Guards against clients that leave
+// early and ask again: such a one will leave after as long again.
 func (c *coordinator) usefulFor(s *search, grace int64, retry bool) int64 {
-	aim, most := c.facts.span(c.facts.of("Classes", s.qtype, "Aim")), c.facts.span(c.facts.of("Classes", s.qtype, "Deadline"))
+	aim := c.facts.span(c.facts.of("Classes", s.qtype, "Aim"))
+	most := c.facts.span(c.facts.of("Classes", s.qtype, "Deadline"))
 	c.tryShare = max(c.tryShare, min(1, float64(grace)/float64(max(most, grace))))
 	spent := int64(0)
-	if float64(grace) < c.tryShare*float64(most)-trySlack && (retry || !c.facts.yes("Clients.MarksRetry") && grace > aim) {
+	again := retry || !c.facts.yes("Clients.MarksRetry") && grace > aim
+	if again && float64(grace) < c.tryShare*float64(most)-trySlack {
 		spent = most - grace
 	} else if retry {
 		spent = int64(float64(aim) * (1 - retryLeft))
@@ -151,7 +153,8 @@
 			i++
 			c.parked = true
 			continue
-		case c.fullness >= 1 || s.useful <= c.now && !c.worthLate(s) || (s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
+		case c.fullness >= 1 || s.useful <= c.now && !c.worthLate(s) ||
+			(s.came < c.now || c.ease() < strain) && c.lateness().of(s, 0):
 			c.shed(s)
 		default:
 			c.open(s)
@@ -180,8 +183,9 @@
 	return can < s.need-1e-4
 }
 
-// hopeless tells whether too few of a search's parts would be answered in useful time, by what own parts at their
-// replicas have taken. Guards against shards whose replicas are all overloaded: the work of the others would be lost.
+// hopeless tells whether too few of a search's parts would be answered in useful time, by what own parts at
+// their replicas have taken. Guards against shards whose replicas are all overloaded: the other parts' work
+// would be lost. Harm: what is believed of a shard until it is tried again.
 func (c *coordinator) hopeless(s *search) bool {
 	in := 0.0
 	for _, p := range s.parts {
@@ -209,8 +213,8 @@
 	return least
 }
 
-// expected is how long a replica takes: by its past answers, or the fleet's where they say too little, and by what
-// is still out. After a while it is tried again: by all together, so many co-ordinators there are, ten times a second.
+// expected is how long a replica takes: by its past answers, or the fleet's where they say too little, and by
+// what is still out. After a while it is tried again: by all together, however many, ten times a second.
 func (c *coordinator) expected(r *replica) float64 {
 	wait := c.common()
 	if c.usualN < fewAnswers { // an assumed time must not shut out what would show the true one
@@ -245,7 +249,7 @@
 		if c.can(p) {
 			o.ease += 2
 		}
-		// Where no copy may run beside a part, one at a slow replica is work that nothing takes back: others go first.
+		// Where no copy may run beside a part, one at a slow replica is work that nothing takes back.
 		if c.facts.yes("Permissions.SecondCopies") || c.wait(p) <= c.common() {
 			o.ease++
 		}
