--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,11 +26,13 @@
 	fewAnswers = 8         // answers before a mean is believed: below, one odd part sways it
 	firstPace  = 2_000     // answer time assumed before any is known: a search part of 200 ms
 
-	slackRatio = 2.0  // present / shortest answer time at which the slot cap begins to shrink: ordinary queueing
-	oneReplica = 2    // times a replica's part of the slots that it may hold itself: ordinary unevenness
-	leastShare = 0.25 // smallest slot cap, of the start: one part a replica keeps every replica measured
-	leastAll   = 3.0  // parts a replica that the least caps of all together allow: they keep it busy
-	strain     = 0.8  // ease under which the cap comes down to own parts in flight: above them it limits nothing
+	slackRatio  = 2.0  // present / shortest answer time at which the cap begins to shrink: ordinary queueing
+	oneReplica  = 2    // times a replica's part of the slots that it may hold itself: ordinary unevenness
+	leastShare  = 0.25 // smallest slot cap, of the start: one part a replica keeps every replica measured
+	leastAll    = 3.0  // parts a replica that the least caps of all together allow: they keep it busy
+	sureAnswers = 30   // answers of late from which slow ones count so: fewer may be one search's own
+	strainExtra = 0.5  // share of the eased extras that still go out then: as good as none with less
+	strain      = 0.8  // ease under which the cap comes down to parts in flight: above them it limits nothing
 
 	trialAll    = 1_000  // between trials of one replica by all together: half of what two cores do
 	seenLeast   = 0.3    // past answers from which they tell a replica's time: one of the last 12 s
@@ -256,16 +258,31 @@
 		order = append(order, o)
 	}
 	slices.SortFunc(order, func(p, q ordered) int { return cmp.Compare(q.ease, p.ease) })
+	// Where evidence is thin nothing waits here, and the backlog says nothing. Slow answers stand in for it:
+	// what an answer may lack is an extra then.
+	least := s.need
+	if c.thin() && c.usualN >= sureAnswers && c.ease() < strain {
+		least = min(least, c.facts.nth("Specifics.ClassFloor", s.qtype, 1)+2e-4)
+	}
 	have, n := 0.0, 0
-	for n < len(order) && have < s.need-1e-4 {
+	for n < len(order) && have < least-1e-4 {
 		have += order[n].weight
 		n++
 	}
 	extras := max(0, len(order)-n-int(c.backlog)) // all that remain while the backlog is under 1
+	if least < s.need {
+		extras = min(extras, int(strainExtra*c.ease()*float64(len(order)-n)))
+	}
 	for i, o := range order[:n+extras] {
 		if i < n || o.ease >= 3 { // an extra that would have to wait takes room from parts that are needed
 			c.ask(o.part)
 		}
+		if i >= n && o.queued {
+			have += o.weight
+		}
+	}
+	if s.cut = have < s.need-1e-4; s.cut {
+		s.most = have
 	}
 	clear(order)
 	c.order = order
@@ -740,6 +757,9 @@
 	unsent := func(q *part) bool { return len(q.tries) == 0 && !q.queued && !q.dead }
 	if i := slices.IndexFunc(s.parts, unsent); i >= 0 {
 		c.ask(s.parts[i]) // stands in
+		if s.cut {
+			s.most += s.parts[i].weight
+		}
 	}
 	if c.check(s); !s.over && s.most < s.need-1e-4 && !c.enough(s, s.most) {
 		c.giveUp(s)
--- a/logic/state.go
+++ b/logic/state.go
@@ -74,6 +74,7 @@
 	step           int
 	firstWhole     bool
 	over           bool
+	cut            bool // parts that an answer may lack were not sent
 	effect         string
 	parts          []*part
 	slab           []part  // room for parts that are still to come
