Shadow settings: what a new shape would have decided otherwise is counted by kind, beside decisions as before

Before a move operators want to watch. Package shadow stands between module and owner: each action is held against the settings in force and those to come (time to come back, second copy, extra, answer in part, attempts, budget, cold share, drain); where they differ on it, its kind counts. An installation's file gets `settings` (over the plan's) and `shadow: settings`; names unknown to the module are refused with line and column. Package facts holds all settings that the module reads, Classes.N.Deadline and Clients.MarksRetry among them, for plan and file alike: places by type, shares from 0 to 1, switches. On SIGHUP a bad plan changes nothing and one line says so. GET /metrics tells the counts where shadow is on, the log every 10 s if they moved; both are off on the platform.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -82,6 +82,9 @@
 			return noStart(err)
 		}
 		log = logOf(file.Log, os.Stderr)
+		if plan, err = settingsOf(file, plan); err != nil {
+			return noStart(fmt.Errorf("%s: %w", s.Installation, err))
+		}
 		if more, err = peersOf(file, plan.Name, log); err != nil {
 			return noStart(err)
 		}
@@ -118,6 +121,15 @@
 	return coordinator.NewLog(to, l.Format == "json", least)
 }
 
+// settingsOf puts an installation's settings over the plan's, and those to be watched beside them.
+func settingsOf(file *installation.File, plan *coordinator.Plan) (*coordinator.Plan, error) {
+	plan, err := plan.With(installation.Over(file.Settings))
+	if err != nil || file.Shadow == nil {
+		return plan, err
+	}
+	return plan.Watching(installation.Over(file.Shadow.Settings))
+}
+
 // peersOf opens what an installation's peers need.
 func peersOf(file *installation.File, name string, log *slog.Logger) (*coordinator.Peers, error) {
 	p := file.Peers
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -297,6 +297,11 @@
 		})
 		return nil
 	}
+	if path == "/metrics" && method == "GET" && o.counts != nil {
+		body := metrics(o.counts)
+		o.post(func() { c.respond(200, "Content-Type: text/plain; version=0.0.4", body, keep) })
+		return nil
+	}
 	_, known := c.classes[first]
 	qtype, ok := c.classes[head["x-class"]]
 	switch {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -708,11 +708,11 @@
 	out, signals := &journal{}, make(chan os.Signal)
 	plans := Reloads(ctx, first, signals, env, NewLog(out, false, slog.LevelInfo))
 	for _, x := range [][3]string{{"file", `"Added":1,`, "variable"}, {"elsewhere", "", "elsewhere"}, {"broken", "{", ""},
-		{"elsewhere", "", "elsewhere"}} {
+		{"elsewhere", "", "elsewhere"}, {"elsewhere", `"Balancers":-1,`, ""}, {"elsewhere", "", "elsewhere"}} {
 		write(x[0], x[1])
 		signals <- syscall.SIGHUP
-		if x[2] == "" {
-			require.Eventually(t, func() bool { return strings.Contains(out.String(), "event=reload_failed") }, patience,
+		if failed := strings.Count(out.String(), "event=reload_failed"); x[2] == "" {
+			require.Eventually(t, func() bool { return strings.Count(out.String(), "event=reload_failed") > failed }, patience,
 				time.Millisecond)
 			continue
 		}
@@ -720,7 +720,8 @@
 		require.Equal(t, x[2], p.Discovery)
 		require.Equal(t, strings.Contains(x[1], "Added"), first.differs(p) == "settings.Added", x[1])
 	}
-	require.Equal(t, 1, strings.Count(out.String(), "event=reload_failed"))
+	require.Equal(t, 2, strings.Count(out.String(), "event=reload_failed"))
+	require.Contains(t, out.String(), "setting Balancers: -1 is under 0")
 }
 
 // At a stop what is held is finished, and requests that still come are taken; then nothing is left.
@@ -862,7 +863,9 @@
 		{`"servers":[]`, `"servers":[{"id":"a"}]`, "known: entry"},
 		{`"Family":"fanout"`, `"Family":"x"`, "Family"}, {`"Tick":5.0`, `"Tick":"x"`, "Tick"},
 		{`"Sets":2`, `"Sets":0`, "Specifics.Sets"}, {`"Aim":4000.0,`, ``, "Classes.0.Aim"},
-		{`"FollowUp":[0,0,2]`, `"FollowUp":[0]`, "FollowUp"}, {`"DialTimeout":2000.0,`, ``, "DialTimeout"}} {
+		{`"FollowUp":[0,0,2]`, `"FollowUp":[0]`, "FollowUp"}, {`"NeedByClass":[`, `"NeedByClass":[1,`, "Specifics.NeedByClass"},
+		{`"ClassFloor":[`, `"ClassFloor":[1.5,`, "Specifics.ClassFloor"}, {`"SecondCopies":true`, `"SecondCopies":"on"`, "Permissions.SecondCopies"},
+		{`"ColdFrom":0.3`, `"ColdFrom":1.5`, "Safety.ColdFrom"}, {`"DialTimeout":2000.0,`, ``, "DialTimeout"}} {
 		require.Contains(t, plan, x[0])
 		_, err := Parse([]byte(strings.Replace(plan, x[0], x[1], 1)))
 		require.ErrorContains(t, err, x[2])
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chalkring/facts"
 	"chalkring/members"
 )
 
@@ -78,7 +79,7 @@
 // take tells the book a list, and the log what the book thinks of it.
 func (m *membership) take(t members.Told) bool {
 	for i := range t.Hosts {
-		t.Hosts[i].Zone, t.Hosts[i].Kind = plainText(t.Hosts[i].Zone), plainText(t.Hosts[i].Kind)
+		t.Hosts[i].Zone, t.Hosts[i].Kind = facts.PlainText(t.Hosts[i].Zone), facts.PlainText(t.Hosts[i].Kind)
 	}
 	changed, err := m.book.Tell(m.o.clock(), t)
 	if err != nil {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chalkring/logic"
+	"chalkring/shadow"
 )
 
 // owner owns the module. All but queue, asks, moves, log and ctx is touched by its goroutine alone; fronts, replicas'
@@ -63,10 +64,11 @@
 	ending    bool // no new client connections come
 	fronts    int  // others that have not finished
 
-	busy    atomic.Int64 // ns spent in turns
-	peers   *learner     // nil where peers are not allowed
-	members *membership  // nil where discovery is the only source of lists
-	door    *Door        // nil where there is no other front
+	busy    atomic.Int64   // ns spent in turns
+	peers   *learner       // nil where peers are not allowed
+	members *membership    // nil where discovery is the only source of lists
+	door    *Door          // nil where there is no other front
+	counts  *shadow.Counts // nil where no other settings are watched
 
 	room   float64      // bytes for open searches and their answers
 	bytes  int64        // of it that searches hold
@@ -251,6 +253,9 @@
 		}
 	}
 	o.module.EndOfBatch()
+	if o.counts != nil {
+		o.tellWatched(0)
+	}
 	return err
 }
 
--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -21,6 +21,9 @@
 				return
 			}
 			p, err := Read(env)
+			if err == nil {
+				p, err = p.With(first.over)
+			}
 			if err != nil {
 				out.Error("reload_failed", "error", err)
 				continue
--- a/coordinator/several.go
+++ b/coordinator/several.go
@@ -97,14 +97,14 @@
 	own := *p
 	own.Sockets, own.MemoryMB = p.Sockets/n, max(1, p.MemoryMB/n)
 	own.seed = p.seed + int64(i)*seedStep
-	own.facts = maps.Clone(p.facts)
-	scale := func(name string, by float64) {
-		if _, stated := own.facts[name]; stated {
-			own.facts[name] = strconv.FormatFloat(p.fact(name)*by, 'g', -1, 64)
+	own.facts, own.next = maps.Clone(p.facts), maps.Clone(p.next)
+	for _, all := range []map[string]string{own.facts, own.next} {
+		for name, by := range map[string]float64{"Balancers": float64(n), "Safety.ExtraFloor": 1 / float64(n)} {
+			if v, err := strconv.ParseFloat(all[name], 64); err == nil {
+				all[name] = strconv.FormatFloat(v*by, 'g', -1, 64)
+			}
 		}
 	}
-	scale("Balancers", float64(n))
-	scale("Safety.ExtraFloor", 1/float64(n))
 	return &own
 }
 
--- a/coordinator/standins_test.go
+++ b/coordinator/standins_test.go
@@ -128,6 +128,15 @@
 }
 
 func startWith(t *testing.T, sockets int, edit func(settings map[string]any), peers *Peers) *rig {
+	return startPlan(t, sockets, edit, peers, nil)
+}
+
+// startWatching starts one whose decisions are held against other settings too.
+func startWatching(t *testing.T, next map[string]string) *rig {
+	return startPlan(t, 256, nil, nil, next)
+}
+
+func startPlan(t *testing.T, sockets int, edit func(settings map[string]any), peers *Peers, next map[string]string) *rig {
 	r := &rig{t: t, replicas: map[string]*standin.Host{}, log: &journal{}, ended: make(chan error, 1),
 		list: script(t), plans: make(chan *Plan)}
 	var known []string
@@ -149,6 +158,10 @@
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":{"version":7,"full":true,"servers":[%s]},
 		"settings":%s}`, ln.Addr(), r.list.Ln.Addr(), sockets, strings.Join(known, ","), text))
 	require.NoError(t, err)
+	if next != nil {
+		p, err = p.Watching(next)
+		require.NoError(t, err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.addr, r.stop, r.plan = ln.Addr().String(), stop, p
 	look := make(chan *owner, 1)
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"os"
@@ -20,8 +21,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"chalkring/facts"
 	"chalkring/logic"
 	"chalkring/members"
+	"chalkring/shadow"
 )
 
 // The constants of the network. What the settings state is not among them.
@@ -74,6 +77,7 @@
 	nameMore     = 24                      // bytes of a part's id behind its search's: a dot, a number, the step
 	listMost     = 256                     // bytes of a part's list that need no room of their own
 	spareMost    = 4096                    // wakes that are kept for the next: those of a few hundred open searches
+	shadowEach   = 10 * time.Second        // between lines on what other settings would have decided otherwise
 	nameMost     = 128                     // bytes of a request's id: it stands in each of its frames
 )
 
@@ -86,6 +90,8 @@
 	inFile string // discovery, as the file has it
 	seed   int64
 	facts  map[string]string
+	over   map[string]string // of facts, what an installation has put there
+	next   map[string]string // facts that decisions are held against too; nil for none
 	known  map[string]any
 }
 
@@ -170,7 +176,7 @@
 		return nil, errors.New("settings are missing")
 	}
 	p.facts = map[string]string{}
-	flatten(p.facts, "", settings)
+	facts.Flatten(p.facts, "", settings)
 	if p.known, ok = all["known"].(map[string]any); !ok {
 		return nil, errors.New("known is missing")
 	}
@@ -207,47 +213,6 @@
 	return f, err == nil && !math.IsInf(f, 0)
 }
 
-// flatten names the settings as the simulator's wire does: paths, lists of plain values joined by commas,
-// lists of objects by number with their count.
-func flatten(facts map[string]string, path string, v any) {
-	switch v := v.(type) {
-	case map[string]any:
-		for name, more := range v {
-			if path != "" {
-				name = path + "." + name
-			}
-			flatten(facts, name, more)
-		}
-	case []any:
-		var plain []string
-		for i, item := range v {
-			switch item.(type) {
-			case map[string]any, []any:
-				flatten(facts, path+"."+strconv.Itoa(i), item)
-				facts[path+".count"] = strconv.Itoa(len(v))
-			default:
-				plain = append(plain, plainText(item))
-			}
-		}
-		if len(plain) == len(v) {
-			facts[path] = strings.Join(plain, ",")
-		}
-	default:
-		facts[path] = plainText(v)
-	}
-}
-
-func plainText(v any) string {
-	switch v := v.(type) {
-	case nil:
-		return "-"
-	case string:
-		return strings.NewReplacer(" ", "_", ",", "_").Replace(v)
-	default:
-		return fmt.Sprint(v)
-	}
-}
-
 func (p *Plan) number(name string) (float64, error) {
 	text, ok := p.facts[name]
 	if !ok {
@@ -306,7 +271,26 @@
 			return fmt.Errorf("setting Specifics.%s has %d places for %d classes", name, n, p.count("Classes"))
 		}
 	}
-	return nil
+	return facts.CheckAll(p.facts, p.count("Classes"))
+}
+
+// With is the plan with an installation's settings over its own; one that is bad leaves the plan as it is.
+func (p *Plan) With(over map[string]string) (*Plan, error) {
+	own := *p
+	own.over, own.facts = over, maps.Clone(p.facts)
+	maps.Copy(own.facts, over)
+	return &own, own.check()
+}
+
+// Watching is the plan with settings that its decisions are to be held against too.
+func (p *Plan) Watching(next map[string]string) (*Plan, error) {
+	then, err := p.With(next)
+	if err != nil {
+		return nil, fmt.Errorf("shadow: %w", err)
+	}
+	own := *p
+	own.next = then.facts
+	return &own, nil
 }
 
 // Blocks tells how many blocks there are.
@@ -347,7 +331,10 @@
 	}
 	o.base = o.start.UnixMicro() / 100
 	f := &front{o: o, gate: newGate(int(clientShare * float64(p.Sockets))), classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
-	o.module = logic.New(o)
+	if o.module = logic.New(o); p.next != nil {
+		o.counts = &shadow.Counts{}
+		o.module = shadow.New(o, p.facts, p.next, o.counts, logic.New)
+	}
 	if m.Peers != nil {
 		o.peers = newLearner(o, m.Peers)
 	}
--- /dev/null
+++ b/coordinator/watching.go
@@ -0,0 +1,32 @@
+package coordinator
+
+import (
+	"fmt"
+	"strings"
+
+	"chalkring/shadow"
+)
+
+// tellWatched writes what other settings would have decided otherwise: one line each shadowEach, if anything came.
+func (o *owner) tellWatched(last int64) {
+	if n := o.counts.Total(); n != last {
+		last = n
+		var v []any
+		for kind, name := range shadow.Names {
+			v = append(v, name, o.counts[kind].Load())
+		}
+		o.log.Info("shadow", v...)
+	}
+	o.after(int64(shadowEach/tenth), func() { o.tellWatched(last) })
+}
+
+// metrics are the same counts in the common text form.
+func metrics(counts *shadow.Counts) []byte {
+	var b strings.Builder
+	b.WriteString("# HELP chalkring_shadow_differs_total Decisions that the shadow settings would have made otherwise.\n" +
+		"# TYPE chalkring_shadow_differs_total counter\n")
+	for kind, name := range shadow.Names {
+		fmt.Fprintf(&b, "chalkring_shadow_differs_total{kind=%q} %d\n", name, counts[kind].Load())
+	}
+	return []byte(b.String())
+}
--- /dev/null
+++ b/coordinator/watching_test.go
@@ -0,0 +1,55 @@
+package coordinator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What other settings would have decided is counted while the settings in force decide: on sockets, as an operator
+// reads it.
+func TestWatching(t *testing.T) {
+	r := startWatching(t, map[string]string{"Permissions.SecondCopies": "false", "Specifics.ClassFloor": "0.5,0.5,0.5"})
+	for _, id := range []string{"a0", "a1"} {
+		r.replicas[id].Set(func(asked) {})
+	}
+	c := r.call()
+	c.send(strings.Replace(request("q1", "all", "", fourParts), "8.000", "1.000", 1))
+	status, _, _, _ := c.answer()
+	require.NotEqual(t, 200, status, "the settings in force need all parts")
+	c.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, head, body, _ := c.answer()
+	require.Equal(t, 200, status)
+	require.Contains(t, head["content-type"], "text/plain")
+	require.Contains(t, body, `chalkring_shadow_differs_total{kind="answer_in_part"} 1`)
+	require.Regexp(t, `kind="second_copy"} [1-9]`, body)
+	require.Contains(t, body, `chalkring_shadow_differs_total{kind="drain"} 0`)
+	r.end()
+
+	off := start(t, 256, nil)
+	c = off.call()
+	c.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, _, _, _ = c.answer()
+	require.Equal(t, 404, status, "off unless it is asked for")
+	off.end()
+}
+
+func TestWatchingNeedsGoodSettings(t *testing.T) {
+	p, err := Parse([]byte(`{"name":"n","listen":"l","discovery":"d","seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":99},
+		"known":{"version":1,"servers":[]},"settings":` + testSettings + `}`))
+	require.NoError(t, err)
+	_, err = p.Watching(map[string]string{"Specifics.ClassFloor": "0.5"})
+	require.ErrorContains(t, err, "shadow: setting Specifics.ClassFloor has 1 places for 3 classes")
+	_, err = p.With(map[string]string{"Permissions.RetryAfter": "later"})
+	require.ErrorContains(t, err, "Permissions.RetryAfter")
+	over, err := p.With(map[string]string{"Permissions.RetryAfter": "false"})
+	require.NoError(t, err)
+	require.Equal(t, "true", p.facts["Permissions.RetryAfter"], "the plan itself stays")
+	require.Equal(t, "false", over.facts["Permissions.RetryAfter"])
+	watched, err := over.Watching(map[string]string{"Permissions.SecondCopies": "false"})
+	require.NoError(t, err)
+	share := watched.share(0, 2)
+	require.Equal(t, share.facts["Balancers"], share.next["Balancers"])
+	require.Equal(t, "false", share.next["Permissions.RetryAfter"], "what is watched starts from what is in force")
+}
--- /dev/null
+++ b/facts/facts_test.go
@@ -0,0 +1,38 @@
+package facts
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBadSettings(t *testing.T) {
+	for _, c := range []struct{ name, text, wrong string }{
+		{"Specifics.NeedByClass", "0.5", "setting Specifics.NeedByClass has 1 places for 2 classes"},
+		{"Specifics.ClassFloor", "0.5,0.5,0.5", "setting Specifics.ClassFloor has 3 places for 2 classes"},
+		{"Specifics.NeedByClass", "0.5,-0.1", "setting Specifics.NeedByClass: place 1: -0.1 is under 0"},
+		{"Specifics.ClassFloor", "1.5,1", "setting Specifics.ClassFloor: place 0: 1.5 is over 1"},
+		{"Specifics.ShortWorth", "0.5,much", `setting Specifics.ShortWorth: place 1: "much" is no number`},
+		{"Specifics.ShortWorth", "NaN,1", `setting Specifics.ShortWorth: place 0: "NaN" is no number`},
+		{"Permissions.SecondCopies", "maybe", `setting Permissions.SecondCopies: "maybe" is neither true nor false`},
+		{"Permissions.RetryAfter", "", `setting Permissions.RetryAfter: "" is neither true nor false`},
+		{"Classes.1.Deadline", "-5", "setting Classes.1.Deadline: -5 is under 0"},
+		{"Classes.0.LateShare", "1.1", "setting Classes.0.LateShare: 1.1 is over 1"},
+		{"Classes.0.Effect", "odd", `setting Classes.0.Effect: "odd" is none of retryable, dedup, fragile`},
+		{"Safety.FallMultiple", "Inf", `setting Safety.FallMultiple: "Inf" is no number`},
+	} {
+		require.EqualError(t, CheckAll(map[string]string{c.name: c.text}, 2), c.wrong)
+	}
+}
+
+func TestWhatMayStand(t *testing.T) {
+	all := map[string]string{}
+	Flatten(all, "", map[string]any{"Colour": "blue", "Permissions": map[string]any{"SecondCopies": false, "Odd": []any{1, "x"}},
+		"Specifics": map[string]any{"NeedByClass": []any{0.6, 1}, "ClassFloor": []any{1, 0.5}, "FollowUp": []any{0, 3}},
+		"Classes": []any{map[string]any{"Deadline": 4000.5}, map[string]any{"Effect": "dedup"}}})
+	require.NoError(t, CheckAll(all, 2)) // a floor above the need is ordinary, and names that nothing reads are allowed
+	require.Equal(t, []string{"false", "0.6,1", "4000.5", "2"}, []string{all["Permissions.SecondCopies"],
+		all["Specifics.NeedByClass"], all["Classes.0.Deadline"], all["Classes.count"]})
+	require.True(t, Known("Classes.12.Deadline"))
+	require.False(t, Known("Permissions.Odd"))
+}
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -8,9 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +21,7 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 
+	"chalkring/facts"
 	"chalkring/learn"
 	"chalkring/query"
 )
@@ -45,6 +48,8 @@
 	Hosts      map[string]Host `yaml:"hosts"` // by the list's kind: those that do not speak the platform's frames
 	Background map[string]Work `yaml:"background"`
 	Members    *Members        `yaml:"members"`
+	Settings   map[string]any  `yaml:"settings"` // over the plan's, in the plan's form
+	Shadow     *Shadow         `yaml:"shadow"`
 	Owners     int             `yaml:"owners"` // co-ordinators in the process, one for each core it has; 1 where left out
 	Log        Log             `yaml:"log"`
 }
@@ -83,6 +88,23 @@
 	Files []string `yaml:"files"` // files, and folders of them; from the folder of the YAML file
 }
 
+// Shadow are settings that decisions are held against and that are not in force.
+type Shadow struct {
+	Settings map[string]any `yaml:"settings"`
+}
+
+// Over names a file's settings as the plan's are named.
+func Over(settings map[string]any) map[string]string {
+	over := map[string]string{}
+	facts.Flatten(over, "", settings)
+	for name := range over {
+		if strings.HasSuffix(name, ".count") { // lists of objects set some of their places
+			delete(over, name)
+		}
+	}
+	return over
+}
+
 // Host is a kind of host that speaks the OpenSearch-style API.
 type Host struct {
 	Index  string           `yaml:"index"`  // in which it keeps members
@@ -161,6 +183,13 @@
 	}
 	c.background(f)
 	c.log(f)
+	c.settings("$.settings", f.Settings)
+	if f.Shadow != nil {
+		c.settings("$.shadow.settings", f.Shadow.Settings)
+		if len(f.Shadow.Settings) == 0 {
+			c.fault("$.shadow", "names no settings to hold decisions against")
+		}
+	}
 	if f.Members != nil {
 		if len(f.Members.Files) == 0 || len(f.Members.Files) > filesMost {
 			c.fault("$.members.files", "%d files and folders, 1 to %d are wanted", len(f.Members.Files), filesMost)
@@ -355,6 +384,21 @@
 	f.Background = all
 }
 
+// settings have to be such as the module reads, each by itself; lists by query type are held against the plan later.
+func (c *checker) settings(at string, settings map[string]any) {
+	over := Over(settings)
+	for _, name := range slices.Sorted(maps.Keys(over)) {
+		path := at + "." + index.ReplaceAllString(name, "[$1]")
+		if !facts.Known(name) {
+			c.fault(path, "no such setting")
+		} else if err := facts.Check(name, over[name]); err != nil {
+			c.fault(path, "%v", err)
+		}
+	}
+}
+
+var index = regexp.MustCompile(`\.(\d+)`)
+
 func (c *checker) log(f *File) {
 	switch f.Log.Format {
 	case "":
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -63,11 +63,18 @@
 		"opensearch:\n  listen: 127.0.0.1:9200\n  indices:\n    - {name: _a, type: t, blocks: [1]}\n":   `[4:14] opensearch.indices[0].name`,
 		"opensearch:\n  listen: 127.0.0.1:9200\n  indices:\n    - {name: a, type: t, blocks: [1, 1]}\n": `opensearch.indices[0].blocks: a block is there twice`,
 		"opensearch:\n  listen: 127.0.0.1:9200\n  indices:\n    - {name: a, type: t}\n":                 `names no block`,
-		"log:\n  format: xml\n":                         `[2:11] log.format`,
-		"log:\n  level: loud\n":                         `[2:10] log.level`,
-		"log: {level: info}\nlog: {level: info}\n":      `[2:1]`,
-		"peers: [1\n":                                   `[1:`,
-		"peers: 7\n":                                    `[1:8]`,
+		"log:\n  format: xml\n":                                  `[2:11] log.format`,
+		"log:\n  level: loud\n":                                  `[2:10] log.level`,
+		"log: {level: info}\nlog: {level: info}\n":               `[2:1]`,
+		"settings:\n  Permissions:\n    SecondCopy: false\n":     `[3:17] settings.Permissions.SecondCopy: no such setting`,
+		"settings:\n  Permissions: {SecondCopies: maybe}\n":      `[2:31] settings.Permissions.SecondCopies: setting Permissions.SecondCopies: "maybe"`,
+		"settings: {Specifics: {ClassFloor: [0.5, 1.5]}}\n":      `settings.Specifics.ClassFloor: setting Specifics.ClassFloor: place 1: 1.5 is over 1`,
+		"settings: {Classes: [{Deadline: -1}]}\n":                `settings.Classes[0].Deadline: setting Classes.0.Deadline: -1 is under 0`,
+		"shadow:\n  settings:\n    Safety: {DrainGrace: soon}\n": `[3:26] shadow.settings.Safety.DrainGrace`,
+		"shadow: {}\n":            `shadow: names no settings`,
+		"shadow: {setings: {}}\n": `[1:10] unknown field "setings"`,
+		"peers: [1\n":             `[1:`,
+		"peers: 7\n":              `[1:8]`,
 		"log: {level: info}\n---\nlog: {level: info}\n": `more than one document`,
 	} {
 		_, err := Parse([]byte(text), "")
@@ -77,6 +84,14 @@
 	require.Error(t, err)
 }
 
+func TestSettings(t *testing.T) {
+	f, err := Parse([]byte("settings: {Permissions: {RetryAfter: false}}\nshadow:\n  settings:\n    Specifics: {ClassFloor: [0.5, 1]}\n"+
+		"    Classes: [{Deadline: 4000}]\n"), "")
+	require.NoError(t, err)
+	require.Equal(t, map[string]string{"Permissions.RetryAfter": "false"}, Over(f.Settings))
+	require.Equal(t, map[string]string{"Specifics.ClassFloor": "0.5,1", "Classes.0.Deadline": "4000"}, Over(f.Shadow.Settings))
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Add([]byte("peers: {ask: [{name: &a x, address: *a}]}"))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -189,9 +189,9 @@
 // their replicas have taken. Guards against shards whose replicas are all overloaded: the other parts' work
 // would be lost. Harm: what is believed of a shard until it is tried again.
 func (c *coordinator) hopeless(s *search) bool {
-	in := 0.0
+	in, thin := 0.0, c.thin()
 	for _, p := range s.parts {
-		if c.inTime(p) {
+		if !thin || c.inTime(p) {
 			in += p.weight
 		}
 	}
@@ -203,7 +203,7 @@
 	if end <= c.now {
 		end = p.s.due
 	}
-	return !c.thin() || tailRatio*c.wait(p) <= float64(end-c.now)
+	return tailRatio*c.wait(p) <= float64(end-c.now)
 }
 
 // wait is how long a part would take at the quickest of its shard's replicas.
@@ -748,7 +748,7 @@
 		return
 	case fells && s.flies():
 		return
-	case c.mayRepeat(p) && c.inTime(p):
+	case c.mayRepeat(p) && (!c.thin() || c.inTime(p)):
 		c.ask(p)
 		return
 	}
