--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,7 +62,7 @@
 	copyAgain   = 1_000 // wait before an overdue part is looked at again
 	copyParts   = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
 
-	coldPart  = 0.6     // of the stated multiple of what a cold replica can do: the rest is for chance
+	coldPart  = 0.8     // of the stated multiple of what a cold replica can do: the rest is for chance
 	parkLook  = 200     // wait before parts that no replica may take are looked at again
 	answerPad = 150     // time kept before a client's limit, beside two ticks: the final answer must not be late
 	askFirst  = 5_000   // wait before a failed subscription is asked again
