--- a/logic/books.go
+++ b/logic/books.go
@@ -115,3 +115,11 @@
 	delete(c.held, s.id)
 	delete(c.numbers, s.number)
 }
+
+func (c *coordinator) Withdrawn(id uint64) {
+	if s := c.held[id]; s != nil {
+		c.left = slices.DeleteFunc(c.left, func(l leaver) bool { return c.now-l.at > leaveSpan })
+		c.left = append(c.left, leaver{s.qtype, s.tenant, s.count, s.first, s.came, c.now})
+		c.end(s)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -93,10 +93,9 @@
 	retry bool) {
 	c.backlog = memory*c.backlog + (1-memory)*float64(len(c.queue))
 	s := &search{id: id, number: number, qtype: qtype, came: c.now, first: c.now, step: 1, count: count}
-	s.slab = make([]part, 0, count)
+	s.tenant, s.slab = tenant, make([]part, 0, count)
 	s.effect, s.parts = c.facts.text[c.facts.of("Classes", qtype, "Effect")], make([]*part, 0, count)
 	s.due = c.now + grace - 2*c.facts.span("Tick") - answerPad
-	s.tenant = tenant
 	s.useful = c.now + min(c.usefulFor(s, grace, retry), grace) - c.facts.span("Tick")
 	s.need = c.facts.nth("Specifics.NeedByClass", qtype, 1)
 	c.held[id], c.numbers[number] = s, s
@@ -114,9 +113,8 @@
 func (c *coordinator) usefulFor(s *search, grace int64, retry bool) int64 {
 	aim := c.facts.span(c.facts.of("Classes", s.qtype, "Aim"))
 	most := c.facts.span(c.facts.of("Classes", s.qtype, "Deadline"))
-	c.tryShare = max(c.tryShare, min(1, float64(grace)/float64(max(most, grace))))
-	spent := int64(0)
-	again := retry || !c.facts.yes("Clients.MarksRetry") && grace > aim
+	c.tryShare = max(c.tryShare, min(1, float64(grace)/float64(max(1, most, grace))))
+	spent, again := int64(0), retry || !c.facts.yes("Clients.MarksRetry") && grace > aim
 	if again && float64(grace) < c.tryShare*float64(most)-trySlack {
 		spent = most - grace
 	} else if retry {
@@ -134,14 +132,6 @@
 	return aim - spent
 }
 
-func (c *coordinator) Withdrawn(id uint64) {
-	if s := c.held[id]; s != nil {
-		c.left = slices.DeleteFunc(c.left, func(l leaver) bool { return c.now-l.at > leaveSpan })
-		c.left = append(c.left, leaver{s.qtype, s.tenant, s.count, s.first, s.came, c.now})
-		c.end(s)
-	}
-}
-
 // Leaving the queue.
 
 func (c *coordinator) EndOfBatch() {
@@ -643,6 +633,9 @@
 	}
 	r := c.pick(p)
 	lacking, heavy := c.short(p.s)
+	if alone && lacking && !heavy && !p.s.cut && c.ease() >= strain {
+		c.standIn(p.s)
+	}
 	if r == nil || c.suspect(r) || !c.mayTry(p) || p.queued || !lacking ||
 		!c.suspect(t.r) && (len(c.queue) > 0 && !c.silent(t) || heavy) ||
 		alone && (age < rescueRatio*c.common() || !c.quick(r) || c.ease() < strain) {
@@ -754,18 +747,23 @@
 	}
 	p.dead = true
 	s.most -= p.weight
-	unsent := func(q *part) bool { return len(q.tries) == 0 && !q.queued && !q.dead }
-	if i := slices.IndexFunc(s.parts, unsent); i >= 0 {
-		c.ask(s.parts[i]) // stands in
-		if s.cut {
-			s.most += s.parts[i].weight
-		}
-	}
+	c.standIn(s)
 	if c.check(s); !s.over && s.most < s.need-1e-4 && !c.enough(s, s.most) {
 		c.giveUp(s)
 	}
 }
 
+// standIn sends a part that was held back, at the quickest replica, in the place of one that is lost or late.
+func (c *coordinator) standIn(s *search) {
+	sent := func(q *part) bool { return len(q.tries) > 0 || q.queued || q.dead }
+	if held := slices.DeleteFunc(slices.Clone(s.parts), sent); len(held) > 0 {
+		q := slices.MinFunc(held, func(p, q *part) int { return cmp.Compare(c.wait(p), c.wait(q)) })
+		if c.ask(q); s.cut {
+			s.most += q.weight
+		}
+	}
+}
+
 func (c *coordinator) cancel(t *try) {
 	if !t.out || !c.facts.yes("Permissions.Cancelling") {
 		return
