--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,7 +57,7 @@
 
 	copyRatio   = 2.5   // age over the fleet's answer time for a second copy: beyond the 95th percentile
 	aloneRatio  = 2     // times that age: a part's time-out where no copy may run beside it
-	rescueRatio = 8.0   // age over the fleet's answer time for calling off: ordinary queues take less
+	rescueRatio = 5.5   // age over the fleet's answer time for calling off: ordinary queues take less
 	copyLeast   = 1_500 // shortest such age: under it a copy costs more than it brings
 	copyAgain   = 1_000 // wait before an overdue part is looked at again
 	copyParts   = 0.5   // share of a search's parts that may be copied: more overdue means a heavy search
