New tries that are not marked count as first ones: clients with time-outs of their own were shed

Read again: where clients do not mark new tries, any search with less time than the longest seen and more than its target counted as one that had spent the difference, so a client with a shorter time-out of its own was shed at once. Clients.MarksRetry is not read any more.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -109,25 +109,25 @@
 
 // usefulFor is how long an answer may take to be worth its full value. A new try has spent part of that: how
 // much shows where less of the client's time is left than first tries have. Guards against clients that leave
-// early and ask again: such a one will leave after as long again.
+// early and ask again: such a one will leave after as long again. Harm: a new try of a client that gives less
+// time of its own accord counts as one that has spent it.
 func (c *coordinator) usefulFor(s *search, grace int64, retry bool) int64 {
 	aim := c.facts.span(c.facts.of("Classes", s.qtype, "Aim"))
 	most := c.facts.span(c.facts.of("Classes", s.qtype, "Deadline"))
 	c.tryShare = max(c.tryShare, min(1, float64(grace)/float64(max(1, most, grace))))
-	spent, again := int64(0), retry || !c.facts.yes("Clients.MarksRetry") && grace > aim
-	if again && float64(grace) < c.tryShare*float64(most)-trySlack {
+	if !retry {
+		return aim
+	}
+	spent := int64(float64(aim) * (1 - retryLeft))
+	if float64(grace) < c.tryShare*float64(most)-trySlack {
 		spent = most - grace
-	} else if retry {
-		spent = int64(float64(aim) * (1 - retryLeft))
 	}
-	if retry {
-		same := func(l leaver) bool { return l.qtype == s.qtype && l.tenant == s.tenant && l.count == s.count }
-		if i := slices.IndexFunc(c.left, same); i >= 0 && c.now-c.left[i].at <= leaveSpan {
-			l := c.left[i]
-			c.left = slices.Delete(c.left, i, i+1)
-			s.first = l.first
-			return min(l.first+aim-c.now, l.at-l.came-c.facts.span("Tick"))
-		}
+	same := func(l leaver) bool { return l.qtype == s.qtype && l.tenant == s.tenant && l.count == s.count }
+	if i := slices.IndexFunc(c.left, same); i >= 0 && c.now-c.left[i].at <= leaveSpan {
+		l := c.left[i]
+		c.left = slices.Delete(c.left, i, i+1)
+		s.first = l.first
+		return min(l.first+aim-c.now, l.at-l.came-c.facts.span("Tick"))
 	}
 	return aim - spent
 }
