--- a/logic/logic.go
+++ b/logic/logic.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// blocked tells whether parts that a whole answer needs have no replica to go to: such a search stands aside.
+// blocked tells whether parts that a whole answer needs have no replica to go to: such a search stands aside,
+// but where less may be answered and answers are quick.
 func (c *coordinator) blocked(s *search) bool {
 	can := 0.0
 	for _, p := range s.parts {
@@ -172,7 +173,7 @@
 			can += p.weight
 		}
 	}
-	return can < s.need-1e-4
+	return can < s.need-1e-4 && (c.ease() < 1 || !c.enough(s, can))
 }
 
 // hopeless tells whether too few of a search's parts would be answered in useful time, by what own parts at
