--- a/coordinator/door.go
+++ b/coordinator/door.go
@@ -27,10 +27,13 @@
 
 	o                *owner
 	classes, tenants map[string]int
+	patience         []time.Duration // by type
+	sets, reach      int
 
-	mu    sync.Mutex
-	cells map[string]int // of the hosts that are listed
-	addrs map[string]string
+	mu      sync.Mutex
+	cells   map[string]int // of the hosts that are listed
+	addrs   map[string]string
+	holders map[int]int // listed hosts by cell
 }
 
 // Asked is one search. Check looks at a host's value for a part before it counts as in, in the goroutine of the
@@ -73,9 +76,17 @@
 var ErrAsked = errors.New("no such type or partner")
 
 func newDoor(o *owner) *Door {
-	return &Door{Name: o.plan.Name, o: o, RetryAfter: o.plan.facts["Permissions.RetryAfter"] == "true", classes: o.plan.names("Classes"), tenants: o.plan.names("Tenants"),
+	d := &Door{Name: o.plan.Name, o: o, RetryAfter: o.plan.facts["Permissions.RetryAfter"] == "true", classes: o.plan.names("Classes"), tenants: o.plan.names("Tenants"),
 		Connections: max(1, int(frontShare*float64(o.plan.Sockets))), Log: o.log.often, cells: map[string]int{},
-		addrs: map[string]string{}}
+		addrs: map[string]string{}, holders: map[int]int{}, sets: int(o.plan.fact("Specifics.Sets")), reach: int(o.plan.fact("Specifics.Reach"))}
+	for i := range o.plan.count("Classes") {
+		v := o.plan.span(fmt.Sprintf("Classes.%d.Deadline", i))
+		if v <= 0 || v > longWait {
+			v = longWait
+		}
+		d.patience = append(d.patience, v)
+	}
+	return d
 }
 
 // Knows tells whether there is such a type, and such a partner where partners are named at all.
@@ -90,23 +101,29 @@
 }
 
 // Patience is how long a search of a type may take at the most.
-func (d *Door) Patience(qtype string) time.Duration {
-	if v := d.o.plan.span(fmt.Sprintf("Classes.%d.Deadline", d.classes[qtype])); v > 0 {
-		return min(v, longWait)
-	}
-	return longWait
-}
+func (d *Door) Patience(qtype string) time.Duration { return d.patience[d.classes[qtype]] }
 
 // Blocks tells how many blocks there are.
 func (d *Door) Blocks() int { return d.o.plan.Blocks() }
 
+// Held tells whether a listed host holds a block.
+func (d *Door) Held(block int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for j := range d.reach {
+		if d.holders[(block+j)%d.sets] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Holders names the listed hosts that hold a block, with their addresses.
 func (d *Door) Holders(block int) (names, addrs []string) {
-	sets, reach := int(d.o.plan.fact("Specifics.Sets")), int(d.o.plan.fact("Specifics.Reach"))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, cell := range d.cells {
-		if (cell-block%sets+sets)%sets < reach {
+		if (cell-block%d.sets+d.sets)%d.sets < d.reach {
 			names = append(names, id)
 		}
 	}
@@ -137,6 +154,10 @@
 			d.cells[h.id], d.addrs[h.id] = h.cell, h.addr
 		}
 	}
+	clear(d.holders)
+	for _, cell := range d.cells {
+		d.holders[(cell%d.sets+d.sets)%d.sets]++
+	}
 }
 
 // Search hands a search in and waits for its final answer. When ctx ends, the search is withdrawn: its client has left.
--- a/front/opensearch/search.go
+++ b/front/opensearch/search.go
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, b := range a.blocks {
-		if names, _ := f.d.Holders(b); len(names) == 0 {
+		if !f.d.Held(b) {
 			return nil, notFound(x.Name, "no such shard [%s][%d]: no listed host holds it", x.Name, b)
 		}
 	}
@@ -185,7 +185,7 @@
 			patience = min(patience, max(v, partLong))
 		}
 	}
-	given, err := f.d.Search(ctx, coordinator.Asked{Name: fmt.Sprintf("os-%s-%d-%d", f.d.Name, f.start.UnixNano(), t.id),
+	given, err := f.d.Search(ctx, coordinator.Asked{Name: f.prefix + strconv.FormatUint(t.id, 10),
 		Type: a.index.Type, Tenant: a.index.Partner, Text: a.q.Part(), Shards: a.blocks, Patience: patience, Retry: a.retry,
 		Check: a.check})
 	switch {
--- a/front/opensearch/server.go
+++ b/front/opensearch/server.go
@@ -60,8 +60,8 @@
 	TLS      *tls.Config // nil for plain HTTP
 	Indices  []Index
 
-	d     *coordinator.Door
-	start time.Time
+	d      *coordinator.Door
+	prefix string // of its searches' names: no other start has the same
 
 	mu    sync.Mutex
 	tasks map[uint64]*task
@@ -85,7 +85,7 @@
 
 // Serve implements coordinator.Front.
 func (f *Front) Serve(ctx, stopping context.Context, d *coordinator.Door) error {
-	f.d, f.start, f.tasks = d, time.Now(), map[uint64]*task{}
+	f.d, f.prefix, f.tasks = d, fmt.Sprintf("os-%s-%d-", d.Name, time.Now().UnixNano()), map[uint64]*task{}
 	for _, x := range f.Indices {
 		if err := d.Knows(x.Type, x.Partner); err != nil {
 			f.Listener.Close()
--- a/lab/cost.go
+++ b/lab/cost.go
@@ -219,8 +219,19 @@
 	return pages * pageSize / (1 << 20)
 }
 
-// cpu is the process's CPU time in seconds.
+// cpu is the process's CPU time in seconds: of its threads to the nanosecond where that is told, else in clock ticks.
 func (p *process) cpu() float64 {
+	total := 0.0
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	for _, task := range tasks {
+		text, _ := os.ReadFile(task)
+		ran, _, _ := strings.Cut(string(text), " ")
+		ns, _ := strconv.ParseFloat(ran, 64)
+		total += ns / 1e9
+	}
+	if total > 0 {
+		return total
+	}
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
 	_, rest, ok := bytes.Cut(text, []byte(") "))
 	f := strings.Fields(string(rest))
--- a/lab/opensearch.go
+++ b/lab/opensearch.go
@@ -22,7 +22,7 @@
 const (
 	osClients  = 12                     // connections that ask one search after another
 	osRounds   = 60                     // searches of each in a stretch
-	osTurns    = 3                      // stretches of each pair, the pairs in turn
+	osTurns    = 8                      // stretches of each pair, the pairs in turn
 	osMembers  = 1600                   // over all blocks
 	osMost     = 1.5                    // times the own front's CPU time that the API may cost for the same search
 	osPatience = 5 * time.Second        // of the clients
--- a/query/json.go
+++ b/query/json.go
@@ -7,10 +7,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"unicode/utf8"
+
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // Bounds of one search. Each is far beyond what member searches need.
@@ -26,6 +30,8 @@
 	aggDepth    = 4       // of them within one another
 	bucketsMost = 1_000   // buckets of a terms aggregation
 	nameMost    = 256     // bytes of a field's or aggregation's name
+	nodesRoom   = 16      // values that get room together: a small search's
+	fewNames    = 16      // names of an object up to which each is held against each
 )
 
 // Error is a refusal in the API's own form.
@@ -84,8 +90,10 @@
 // reader makes nodes of a text and faults with their place.
 type reader struct {
 	src   []byte
-	d     *json.Decoder
+	text  string // the same
+	d     *jsontext.Decoder
 	count int
+	spare []node // room for the next ones
 }
 
 // fault is a parsing_exception at a place.
@@ -121,13 +129,16 @@
 	if len(bytes.TrimSpace(text)) == 0 {
 		return r, &node{kind: object}, nil
 	}
-	r.d = json.NewDecoder(bytes.NewReader(text))
-	r.d.UseNumber()
+	b := bodies.Get().(*bodyReader)
+	defer b.release()
+	b.src = *bytes.NewBuffer(text)
+	b.d.Reset(&b.src, jsontext.AllowDuplicateNames(true)) // they are found here, with their place
+	r.d, r.text = &b.d, string(text)
 	n, err := r.value(0)
 	if err != nil {
 		return nil, nil, err
 	}
-	if _, err := r.d.Token(); err != io.EOF {
+	if _, err := r.d.ReadToken(); err != io.EOF {
 		return nil, nil, r.fault(int(r.d.InputOffset()), "something stands behind the end of the body")
 	}
 	if n.kind != object {
@@ -136,76 +147,119 @@
 	return r, n, nil
 }
 
-// token takes the next one and where it begins.
-func (r *reader) token() (json.Token, int, error) {
+// bodies are readers of bodies, kept for the next.
+var bodies = sync.Pool{New: func() any { return &bodyReader{} }}
+
+type bodyReader struct {
+	src bytes.Buffer
+	d   jsontext.Decoder
+}
+
+func (b *bodyReader) release() {
+	b.src = bytes.Buffer{}
+	b.d.Reset(&b.src)
+	bodies.Put(b)
+}
+
+// next is where the next token begins.
+func (r *reader) next() int {
 	at := int(r.d.InputOffset())
 	for at < len(r.src) && strings.IndexByte(" \t\r\n,:", r.src[at]) >= 0 {
 		at++
 	}
-	t, err := r.d.Token()
-	if err == io.EOF {
-		return nil, at, r.fault(len(r.src), "the body ends in the middle")
-	}
-	if err != nil {
-		return nil, at, r.fault(at, "not JSON: %v", err)
+	return at
+}
+
+func (r *reader) failed(err error, at int) error {
+	if err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) {
+		return r.fault(len(r.src), "the body ends in the middle")
 	}
-	return t, at, nil
+	return r.fault(at, "not JSON: %v", err)
 }
 
-func (r *reader) value(depth int) (*node, error) {
-	t, at, err := r.token()
-	if err != nil {
-		return nil, err
+// plainText is a string, number or truth that was just read, a string without its quotes. What has nothing escaped lies
+// in the body.
+func (r *reader) plainText(v jsontext.Value) (string, error) {
+	end := int(r.d.InputOffset())
+	switch {
+	case v.Kind() != str:
+		return r.text[end-len(v) : end], nil
+	case bytes.IndexByte(v, '\\') < 0:
+		return r.text[end-len(v)+1 : end-1], nil
 	}
-	return r.build(t, at, depth)
+	b, err := jsontext.AppendUnquote(nil, v)
+	return string(b), err
 }
 
-func (r *reader) build(t json.Token, at, depth int) (*node, error) {
+// value reads the next value whole.
+func (r *reader) value(depth int) (*node, error) {
+	at := r.next()
+	kind := byte(r.d.PeekKind())
+	if kind == 'f' {
+		kind = truth
+	}
 	if r.count++; r.count > nodesMost {
 		return nil, r.fault(at, "over %d values", nodesMost)
 	}
 	if depth > depthMost {
 		return nil, r.fault(at, "nested over %d deep", depthMost)
 	}
-	n := &node{at: at}
-	switch t := t.(type) {
-	case nil:
-		n.kind = null
-	case bool:
-		n.kind, n.text = truth, fmt.Sprint(t)
-	case json.Number:
-		n.kind, n.text = num, t.String()
-	case string:
-		n.kind, n.text = str, t
-	case json.Delim:
-		n.kind = byte(t)
-		seen := map[string]bool{}
-		for r.d.More() {
-			if n.kind == object {
-				key, at, err := r.token()
-				if err != nil {
-					return nil, err
-				}
-				word := key.(string)
-				if seen[word] {
-					return nil, r.fault(at, "duplicate name %.100q", word)
-				}
-				seen[word] = true
-				n.names = append(n.names, name{word, at})
+	if len(r.spare) == 0 {
+		r.spare = make([]node, nodesRoom)
+	}
+	n := &r.spare[0]
+	r.spare = r.spare[1:]
+	n.at, n.kind = at, kind
+	if kind != object && kind != list {
+		v, err := r.d.ReadValue()
+		if err == nil && kind != null {
+			n.text, err = r.plainText(v)
+		}
+		if err != nil {
+			return nil, r.failed(err, at)
+		}
+		return n, nil
+	}
+	if _, err := r.d.ReadToken(); err != nil {
+		return nil, r.failed(err, at)
+	}
+	seen := map[string]bool(nil)
+	for r.d.PeekKind() != '}' && r.d.PeekKind() != ']' {
+		if kind == object {
+			at := r.next()
+			v, err := r.d.ReadValue()
+			if err != nil {
+				return nil, r.failed(err, at)
 			}
-			v, err := r.value(depth + 1)
+			word, err := r.plainText(v)
 			if err != nil {
-				return nil, err
+				return nil, r.failed(err, at)
+			}
+			if len(n.names) == fewNames { // more are looked up: guards against time that goes with their square
+				seen = make(map[string]bool, 2*fewNames)
+				for _, one := range n.names {
+					seen[one.text] = true
+				}
 			}
-			if n.kind == object {
-				n.fields = append(n.fields, v)
-			} else {
-				n.items = append(n.items, v)
+			if seen == nil && n.get(word) != nil || seen[word] {
+				return nil, r.fault(at, "duplicate name %.100q", word)
+			}
+			if n.names = append(n.names, name{word, at}); seen != nil {
+				seen[word] = true
 			}
 		}
-		if _, _, err := r.token(); err != nil {
+		v, err := r.value(depth + 1)
+		if err != nil {
 			return nil, err
 		}
+		if kind == object {
+			n.fields = append(n.fields, v)
+		} else {
+			n.items = append(n.items, v)
+		}
+	}
+	if _, err := r.d.ReadToken(); err != nil {
+		return nil, r.failed(err, r.next())
 	}
 	return n, nil
 }
--- a/query/merge.go
+++ b/query/merge.go
@@ -1,14 +1,15 @@
 package query
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/axiomhq/hyperloglog"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/influxdata/tdigest"
 )
 
@@ -38,8 +39,10 @@
 // A member on two parts counts once, as the part with the lower number has it. Totals and aggregations of less than
 // all parts are told as such: the relation of the total is gte, and _shards tells how many are in.
 func (q *Request) Merge(o Outcome) []byte {
-	whole := q.Join(o.Answers...)
-	hits, total, atLeast := whole.Hits[:min(len(whole.Hits), q.From+q.Size)], whole.Total, whole.AtLeast
+	whole := q.join(o.Answers)
+	merged, doubled := q.all(o.Answers)
+	whole.Doubled += doubled
+	hits, total, atLeast := merged[:min(len(merged), q.From+q.Size)], whole.Total, whole.AtLeast
 	atLeast = atLeast || len(o.Failures)+o.Skipped > 0
 	var best *float64
 	if k := q.Sort[0]; k.Field == "_score" && k.Desc && len(hits) > 0 && len(q.After) == 0 {
@@ -53,49 +56,112 @@
 	} else {
 		hits = nil
 	}
-	out := make([]Hit, 0, len(hits))
-	for _, h := range hits {
-		if !q.Sorted {
-			h.Sort = nil
+	// Names in the order of their bytes, as maps are written: equal outcomes have equal texts.
+	room := 256 + 128*len(o.Failures)
+	for i := range hits {
+		room += 128 + len(hits[i].Source) + len(hits[i].Index) + len(hits[i].ID)
+	}
+	dst := append(make([]byte, 0, room), `{"_shards":{"failed":`...)
+	dst = strconv.AppendInt(dst, int64(len(o.Failures)), 10)
+	for i, f := range o.Failures {
+		dst = append(dst, [...]string{`,"failures":[`, `,`}[min(i, 1)]...)
+		dst = appendText(append(dst, `{"index":`...), f.Index)
+		dst = appendText(append(dst, `,"node":null,"reason":{"reason":`...), f.Reason)
+		dst = appendText(append(dst, `,"type":`...), f.Type)
+		dst = append(strconv.AppendInt(append(dst, `},"shard":`...), int64(f.Shard), 10), '}')
+	}
+	if len(o.Failures) > 0 {
+		dst = append(dst, ']')
+	}
+	dst = strconv.AppendInt(append(dst, `,"skipped":`...), int64(o.Skipped), 10)
+	dst = strconv.AppendInt(append(dst, `,"successful":`...), int64(whole.Parts+o.Skipped), 10)
+	dst = strconv.AppendInt(append(dst, `,"total":`...), int64(whole.Parts+len(o.Failures)+o.Skipped), 10)
+	dst = append(dst, '}')
+	if len(q.Aggs) > 0 {
+		var got []map[string]any
+		for _, p := range whole.aggs {
+			got = append(got, p.aggs)
+		}
+		text, _ := json.Marshal(mergeAggs(q.Aggs, got))
+		dst = append(append(dst, `,"aggregations":`...), text...)
+	}
+	dst = append(dst, `,"hits":{"hits":[`...)
+	for i := range hits {
+		if i > 0 {
+			dst = append(dst, ',')
 		}
-		out = append(out, h)
+		dst = hits[i].append(dst, q.Sorted)
 	}
-	body := map[string]any{"max_score": best, "hits": out}
+	dst = appendScore(append(dst, `],"max_score":`...), best)
 	if q.TrackTotal > 0 {
 		relation := "eq"
 		if atLeast {
 			relation = "gte"
 		}
-		body["total"] = map[string]any{"value": total, "relation": relation}
+		dst = append(append(append(dst, `,"total":{"relation":"`...), relation...), `","value":`...)
+		dst = append(strconv.AppendInt(dst, int64(total), 10), '}')
 	}
-	shards := map[string]any{"total": whole.Parts + len(o.Failures) + o.Skipped, "successful": whole.Parts + o.Skipped,
-		"skipped": o.Skipped, "failed": len(o.Failures)}
-	if len(o.Failures) > 0 {
-		var all []any
-		for _, f := range o.Failures {
-			all = append(all, map[string]any{"shard": f.Shard, "index": f.Index, "node": nil,
-				"reason": map[string]any{"type": f.Type, "reason": f.Reason}})
-		}
-		shards["failures"] = all
-	}
-	all := map[string]any{"took": o.Took, "timed_out": o.TimedOut, "_shards": shards, "hits": body}
+	dst = append(dst, '}')
 	if whole.Early {
-		all["terminated_early"] = true
+		dst = append(dst, `,"terminated_early":true`...)
 	}
-	if len(q.Aggs) > 0 {
-		var got []map[string]any
-		for _, p := range whole.aggs {
-			got = append(got, p.aggs)
+	dst = strconv.AppendBool(append(dst, `,"timed_out":`...), o.TimedOut)
+	return append(strconv.AppendInt(append(dst, `,"took":`...), o.Took, 10), '}')
+}
+
+// append writes a hit: what its host gave as the source, byte for byte.
+func (h *Hit) append(dst []byte, sorted bool) []byte {
+	dst = appendText(append(dst, `{"_index":`...), h.Index)
+	dst = appendText(append(dst, `,"_id":`...), h.ID)
+	dst = appendScore(append(dst, `,"_score":`...), h.Score)
+	if len(h.Source) > 0 {
+		dst = append(append(dst, `,"_source":`...), h.Source...)
+	}
+	if sorted {
+		for i, v := range h.Sort {
+			dst = append(dst, [...]string{`,"sort":[`, `,`}[min(i, 1)]...)
+			if v.kind == '"' {
+				dst = appendText(dst, v.text)
+			} else {
+				text, _ := v.MarshalJSON()
+				dst = append(dst, text...)
+			}
 		}
-		all["aggregations"] = mergeAggs(q.Aggs, got)
+		if len(h.Sort) > 0 {
+			dst = append(dst, ']')
+		}
+	}
+	return append(dst, '}')
+}
+
+func appendText(dst []byte, text string) []byte {
+	dst, _ = jsontext.AppendQuote(dst, text)
+	return dst
+}
+
+// appendScore writes a score as the API does, null for none.
+func appendScore(dst []byte, v *float64) []byte {
+	if v == nil {
+		return append(dst, "null"...)
 	}
-	text, _ := json.Marshal(all)
-	return text
+	text, _ := json.Marshal(*v)
+	return append(dst, text...)
 }
 
 // Join puts answers together so that they can be joined or merged further: whatever the order and the grouping, the
 // result is the same. All hits stay, since one that is beyond the page may be there twice in what comes later.
 func (q *Request) Join(answers ...*Answer) *Answer {
+	out := q.join(answers)
+	hits, doubled := q.all(answers)
+	out.Doubled += doubled
+	for _, h := range hits {
+		out.Hits = append(out.Hits, *h)
+	}
+	return out
+}
+
+// join adds up all but the hits.
+func (q *Request) join(answers []*Answer) *Answer {
 	out := &Answer{Shard: math.MaxInt}
 	for _, a := range answers {
 		out.Shard = min(out.Shard, a.Shard)
@@ -104,61 +170,68 @@
 		out.aggs = append(out.aggs, a.aggs...)
 	}
 	slices.SortStableFunc(out.aggs, func(x, y partAnswer) int { return x.shard - y.shard })
-	hits, doubled := q.all(answers)
-	out.Hits, out.Doubled = hits, out.Doubled+doubled
 	return out
 }
 
-// cursor is a list of hits as far as it has been taken.
-type cursor struct {
+// cursors are lists of hits as far as they have been taken, a heap by their first ones.
+type cursors struct {
 	q    *Request
-	hits []Hit
+	list [][]Hit
 }
 
-type cursors []*cursor
-
-func (c cursors) Len() int { return len(c) }
-func (c cursors) Less(i, j int) bool {
-	if by := c[i].q.compare(c[i].hits[0].Sort, c[j].hits[0].Sort); by != 0 {
+func (c *cursors) less(i, j int) bool {
+	if by := c.q.compare(c.list[i][0].Sort, c.list[j][0].Sort); by != 0 {
 		return by < 0
 	}
-	return c[i].hits[0].shard < c[j].hits[0].shard
+	return c.list[i][0].shard < c.list[j][0].shard
 }
-func (c cursors) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
-func (c *cursors) Push(v any)   { *c = append(*c, v.(*cursor)) }
-func (c *cursors) Pop() any {
-	old := *c
-	v := old[len(old)-1]
-	*c = old[:len(old)-1]
-	return v
+
+// down puts the list at a place where it belongs.
+func (c *cursors) down(i int) {
+	for {
+		least := i
+		for j := 2*i + 1; j <= 2*i+2 && j < len(c.list); j++ {
+			if c.less(j, least) {
+				least = j
+			}
+		}
+		if least == i {
+			return
+		}
+		c.list[i], c.list[least] = c.list[least], c.list[i]
+		i = least
+	}
 }
 
 // all merges the hits of all answers, a member that is there twice as its first, and counts the others. The heap holds
-// a cursor an answer, so that no more is held than the answers themselves.
-func (q *Request) all(answers []*Answer) (hits []Hit, doubled int) {
-	var c cursors
+// a list an answer, so that no more is held than the answers themselves.
+func (q *Request) all(answers []*Answer) (hits []*Hit, doubled int) {
+	c := cursors{q, make([][]Hit, 0, len(answers))}
 	n := 0
 	for _, a := range answers {
 		if n += len(a.Hits); len(a.Hits) > 0 {
-			c = append(c, &cursor{q, a.Hits})
+			c.list = append(c.list, a.Hits)
 		}
 	}
-	heap.Init(&c)
-	hits = make([]Hit, 0, n)
-	seen := make(map[string]bool, n)
-	for len(c) > 0 {
-		first := c[0]
-		h := first.hits[0]
-		if first.hits = first.hits[1:]; len(first.hits) == 0 {
-			heap.Pop(&c)
-		} else {
-			heap.Fix(&c, 0)
+	for i := len(c.list)/2 - 1; i >= 0; i-- {
+		c.down(i)
+	}
+	hits = make([]*Hit, 0, n)
+	seen := make(map[string]struct{}, n)
+	for last := len(c.list) - 1; last >= 0; {
+		h := &c.list[0][0]
+		if c.list[0] = c.list[0][1:]; len(c.list[0]) == 0 {
+			c.list[0], c.list = c.list[last], c.list[:last]
+			last--
+		}
+		if last > 0 {
+			c.down(0)
 		}
-		if seen[h.ID] {
+		if _, there := seen[h.ID]; there {
 			doubled++
 			continue
 		}
-		seen[h.ID] = true
+		seen[h.ID] = struct{}{}
 		hits = append(hits, h)
 	}
 	return hits, doubled
--- a/query/parse.go
+++ b/query/parse.go
@@ -761,56 +761,6 @@
 	return nil
 }
 
-// json is the clause in the API's form, normalised.
-func (c *Clause) json() any {
-	body := map[string]any{}
-	if c.Boost != 1 {
-		body["boost"] = c.Boost
-	}
-	with := func(word string, v any) map[string]any { body[word] = v; return body }
-	switch c.Kind {
-	case "term", "prefix":
-		return map[string]any{c.Kind: map[string]any{c.Field: with("value", c.Values[0])}}
-	case "match":
-		if c.And {
-			body["operator"] = "and"
-		}
-		return map[string]any{c.Kind: map[string]any{c.Field: with("query", c.Values[0])}}
-	case "terms":
-		return map[string]any{c.Kind: with(c.Field, listOf(c.Values))}
-	case "ids":
-		return map[string]any{c.Kind: with("values", listOf(c.Values))}
-	case "exists":
-		return map[string]any{c.Kind: with("field", c.Field)}
-	case "range":
-		for word, v := range c.Bounds {
-			body[word] = v
-		}
-		return map[string]any{c.Kind: map[string]any{c.Field: body}}
-	case "constant_score":
-		return map[string]any{c.Kind: with("filter", c.Of["filter"][0].json())}
-	case "bool":
-		for word, all := range c.Of {
-			var subs []any
-			for _, sub := range all {
-				subs = append(subs, sub.json())
-			}
-			body[word] = subs
-		}
-		if len(c.Of["should"]) > 0 {
-			body["minimum_should_match"] = c.MinShould
-		}
-	}
-	return map[string]any{c.Kind: body}
-}
-
-func listOf(all []any) []any {
-	if all == nil {
-		return []any{}
-	}
-	return all
-}
-
 // number is a JSON number or any float as a float.
 func number(v any) (float64, bool) {
 	switch v := v.(type) {
--- a/query/part.go
+++ b/query/part.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"errors"
@@ -9,9 +8,6 @@
 	"math"
 	"strconv"
 	"strings"
-
-	jsonv2 "github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
 )
 
 const (
@@ -32,53 +28,169 @@
 // Part is the body that a part asks a host with: the same for all parts of a search. Each asks for all hits that the
 // whole may need, under one fixed order that ends with _id, and for what its aggregations are put together from.
 func (q *Request) Part() []byte {
-	body := map[string]any{"query": q.Query.json(), "size": q.From + q.Size}
-	var sort []any
+	dst := append(make([]byte, 0, 512), '{') // names come sorted: equal searches have equal texts
+	switch {
+	case !q.Source:
+		dst = append(dst, `"_source":false,`...)
+	case len(q.Includes)+len(q.Excludes) > 0:
+		dst = appendTexts(append(dst, `"_source":{"excludes":`...), q.Excludes)
+		dst = append(appendTexts(append(dst, `,"includes":`...), q.Includes), `},`...)
+	}
+	if len(q.Aggs) > 0 {
+		text, _ := json.Marshal(partAggs(q.Aggs))
+		dst = append(append(append(dst, `"aggs":`...), text...), ',')
+	}
+	if q.MinScore != nil {
+		dst = append(appendValue(append(dst, `"min_score":`...), *q.MinScore), ',')
+	}
+	dst = q.Query.append(append(dst, `"query":`...))
+	if len(q.After) > 0 {
+		dst = appendValues(append(dst, `,"search_after":`...), q.After)
+	}
+	dst = append(strconv.AppendInt(append(dst, `,"size":`...), int64(q.From+q.Size), 10), `,"sort":[`...)
 	scores := false
-	for _, k := range q.Sort {
-		by := map[string]any{"order": "asc"}
-		if k.Desc {
-			by["order"] = "desc"
+	for i, k := range q.Sort {
+		if i > 0 {
+			dst = append(dst, ',')
 		}
+		dst = append(appendText(append(dst, '{'), k.Field), `:{`...)
 		if k.Field == "_score" {
 			scores = true
 		} else if k.Field != "_id" {
-			by["missing"] = k.Missing
+			dst = append(appendValue(append(dst, `"missing":`...), k.Missing), ',')
+		}
+		if k.Desc {
+			dst = append(dst, `"order":"desc"}}`...)
+		} else {
+			dst = append(dst, `"order":"asc"}}`...)
 		}
-		sort = append(sort, map[string]any{k.Field: by})
-	}
-	body["sort"] = sort
-	if scores {
-		body["track_scores"] = true
 	}
-	if len(q.After) > 0 {
-		body["search_after"] = q.After
+	dst = append(dst, ']')
+	if q.TerminateAfter > 0 {
+		dst = strconv.AppendInt(append(dst, `,"terminate_after":`...), int64(q.TerminateAfter), 10)
 	}
-	switch {
-	case !q.Source:
-		body["_source"] = false
-	case len(q.Includes)+len(q.Excludes) > 0:
-		body["_source"] = map[string]any{"includes": append([]string{}, q.Includes...), "excludes": append([]string{}, q.Excludes...)}
+	if scores {
+		dst = append(dst, `,"track_scores":true`...)
 	}
-	switch q.TrackTotal {
+	switch dst = append(dst, `,"track_total_hits":`...); q.TrackTotal {
 	case math.MaxInt:
-		body["track_total_hits"] = true
+		dst = append(dst, "true"...)
 	case 0:
-		body["track_total_hits"] = false
+		dst = append(dst, "false"...)
 	default:
-		body["track_total_hits"] = q.TrackTotal
+		dst = strconv.AppendInt(dst, int64(q.TrackTotal), 10)
 	}
-	if q.MinScore != nil {
-		body["min_score"] = *q.MinScore
+	return append(dst, '}')
+}
+
+// append writes a clause as the API has it.
+func (c *Clause) append(dst []byte) []byte {
+	dst = append(appendText(append(dst, '{'), c.Kind), `:{`...)
+	inner := c.Kind == "term" || c.Kind == "prefix" || c.Kind == "match" || c.Kind == "range"
+	if inner {
+		dst = append(appendText(dst, c.Field), `:{`...)
+	}
+	from := len(dst)
+	field := func(word string) {
+		if len(dst) > from {
+			dst = append(dst, ',')
+		}
+		dst = append(appendText(dst, word), ':')
+	}
+	if c.Boost != 1 {
+		field("boost")
+		dst = appendValue(dst, c.Boost)
+	}
+	switch c.Kind {
+	case "term", "prefix":
+		field("value")
+		dst = appendValue(dst, c.Values[0])
+	case "match":
+		if c.And {
+			field("operator")
+			dst = append(dst, `"and"`...)
+		}
+		field("query")
+		dst = appendValue(dst, c.Values[0])
+	case "terms":
+		field(c.Field)
+		dst = appendValues(dst, c.Values)
+	case "ids":
+		field("values")
+		dst = appendValues(dst, c.Values)
+	case "exists":
+		field("field")
+		dst = appendText(dst, c.Field)
+	case "range":
+		for _, word := range []string{"gt", "gte", "lt", "lte"} {
+			if v, ok := c.Bounds[word]; ok {
+				field(word)
+				dst = appendValue(dst, v)
+			}
+		}
+	case "constant_score":
+		field("filter")
+		dst = c.Of["filter"][0].append(dst)
+	case "bool":
+		if len(c.Of["should"]) > 0 {
+			field("minimum_should_match")
+			dst = strconv.AppendInt(dst, int64(c.MinShould), 10)
+		}
+		for _, word := range []string{"filter", "must", "must_not", "should"} {
+			if c.Of[word] == nil {
+				continue
+			}
+			field(word)
+			dst = append(dst, '[')
+			for i, sub := range c.Of[word] {
+				if i > 0 {
+					dst = append(dst, ',')
+				}
+				dst = sub.append(dst)
+			}
+			dst = append(dst, ']')
+		}
 	}
-	if q.TerminateAfter > 0 {
-		body["terminate_after"] = q.TerminateAfter
+	if dst = append(dst, `}}`...); inner {
+		dst = append(dst, '}')
 	}
-	if len(q.Aggs) > 0 {
-		body["aggs"] = partAggs(q.Aggs)
+	return dst
+}
+
+// appendValue writes a plain value as it came.
+func appendValue(dst []byte, v any) []byte {
+	switch v := v.(type) {
+	case string:
+		return appendText(dst, v)
+	case json.Number:
+		return append(dst, v...)
+	case bool:
+		return strconv.AppendBool(dst, v)
+	}
+	text, _ := json.Marshal(v)
+	return append(dst, text...)
+}
+
+func appendValues(dst []byte, all []any) []byte {
+	dst = append(dst, '[')
+	for i, v := range all {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = appendValue(dst, v)
 	}
-	text, _ := json.Marshal(body) // map keys come sorted: equal searches have equal texts
-	return text
+	return append(dst, ']')
+}
+
+func appendTexts(dst []byte, all []string) []byte {
+	dst = append(dst, '[')
+	for i, v := range all {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = appendText(dst, v)
+	}
+	return append(dst, ']')
 }
 
 func partAggs(aggs []Agg) map[string]any {
@@ -129,30 +241,6 @@
 	shard   int // the part it came with
 }
 
-// rawHit is a hit as it is read: its sort values keep their digits.
-type rawHit struct {
-	Index  string         `json:"_index"`
-	ID     string         `json:"_id"`
-	Score  jsontext.Value `json:"_score"`
-	Source jsontext.Value `json:"_source"`
-	Sort   sortValues     `json:"sort"`
-
-	Routing string `json:"_routing"`
-}
-
-func (r *rawHit) into(h *Hit) error {
-	h.Index, h.ID, h.Source, h.routing = r.Index, r.ID, json.RawMessage(r.Source), r.Routing
-	if len(r.Score) > 0 && r.Score.Kind() != 'n' {
-		v, err := strconv.ParseFloat(string(r.Score), 64)
-		if err != nil {
-			return spoilt("a score that is no number")
-		}
-		h.Score = &v
-	}
-	h.Sort = r.Sort
-	return nil
-}
-
 // SortValue is one value that a hit is sorted by: a number with all its digits, a text, a truth or nothing.
 type SortValue struct {
 	kind byte
@@ -160,38 +248,6 @@
 	f    float64
 }
 
-type sortValues []SortValue
-
-// UnmarshalJSONFrom reads an array of plain values.
-func (s *sortValues) UnmarshalJSONFrom(d *jsontext.Decoder) error {
-	t, err := d.ReadToken()
-	if err != nil || t.Kind() != '[' {
-		return errors.Join(err, errors.New("sort values are no array"))
-	}
-	*s = make(sortValues, 0, 2)
-	for d.PeekKind() != ']' {
-		if t, err = d.ReadToken(); err != nil {
-			return err
-		}
-		v := SortValue{kind: byte(t.Kind())}
-		switch v.kind {
-		case '"':
-			v.text = t.String()
-		case '0':
-			v.text = t.String()
-			if v.f, err = strconv.ParseFloat(v.text, 64); err != nil {
-				return err
-			}
-		case 't', 'f', 'n':
-		default:
-			return errors.New("a sort value is no plain value")
-		}
-		*s = append(*s, v)
-	}
-	_, err = d.ReadToken()
-	return err
-}
-
 // MarshalJSON writes the value as it came.
 func (v SortValue) MarshalJSON() ([]byte, error) {
 	switch v.kind {
@@ -242,121 +298,6 @@
 	return fmt.Errorf("%w: %s", ErrAnswer, fmt.Sprintf(format, v...))
 }
 
-// answerHead is what an answer tells of its part.
-type answerHead struct {
-	TimedOut *bool `json:"timed_out"`
-	Shards   *struct {
-		Total      int `json:"total"`
-		Successful int `json:"successful"`
-		Failed     int `json:"failed"`
-	} `json:"_shards"`
-}
-
-// check looks that the one part that was asked is there, in time and whole.
-func (h *answerHead) check(hits bool) error {
-	switch {
-	case h.TimedOut == nil || h.Shards == nil || !hits:
-		return spoilt("no timed_out, _shards or hits")
-	case *h.TimedOut:
-		return spoilt("timed_out")
-	case h.Shards.Failed != 0 || h.Shards.Successful != 1 || h.Shards.Total != 1:
-		return spoilt("_shards: %d of %d, %d failed", h.Shards.Successful, h.Shards.Total, h.Shards.Failed)
-	}
-	return nil
-}
-
-// ReadAnswer takes a host's answer to a part apart and looks at all that a whole rests on. Guards against a host that
-// answers in valid syntax and leaves its part out, ran out of time, speaks of another index, doubles a hit, sends
-// them in no order or more than were asked for, gives scores that are no numbers, or a total below its hits.
-func (q *Request) ReadAnswer(shard int, index string, text []byte) (*Answer, error) {
-	if len(text) > answerMost {
-		return nil, spoilt("%d bytes", len(text))
-	}
-	var a struct {
-		answerHead
-		Early bool `json:"terminated_early"`
-		Hits  *struct {
-			Total jsontext.Value `json:"total"`
-			Hits  []rawHit       `json:"hits"`
-		} `json:"hits"`
-		Aggs jsontext.Value `json:"aggregations"`
-	}
-	if err := jsonv2.Unmarshal(text, &a); err != nil {
-		return nil, spoilt("%v", err)
-	}
-	if err := a.check(a.Hits != nil); err != nil {
-		return nil, err
-	}
-	if len(a.Hits.Hits) > q.From+q.Size {
-		return nil, spoilt("%d hits, %d were asked for", len(a.Hits.Hits), q.From+q.Size)
-	}
-	out := &Answer{Shard: shard, Parts: 1, Hits: make([]Hit, len(a.Hits.Hits)), Early: a.Early}
-	var aggs map[string]any
-	if len(a.Aggs) > 0 {
-		d := json.NewDecoder(bytes.NewReader(a.Aggs))
-		d.UseNumber()
-		if err := d.Decode(&aggs); err != nil {
-			return nil, spoilt("%v", err)
-		}
-	}
-	for i := range out.Hits {
-		if err := a.Hits.Hits[i].into(&out.Hits[i]); err != nil {
-			return nil, err
-		}
-		out.Hits[i].shard = shard
-	}
-	if err := out.total(json.RawMessage(a.Hits.Total), q.TrackTotal == 0); err != nil {
-		return nil, err
-	}
-	seen := map[string]bool{}
-	for i, h := range out.Hits {
-		switch {
-		case h.ID == "" || seen[h.ID]:
-			return nil, spoilt("hit %.60q is there twice or has no id", h.ID)
-		case index != "" && h.Index != index:
-			return nil, spoilt("a hit of index %.60q", h.Index)
-		case len(h.Sort) != len(q.Sort):
-			return nil, spoilt("%d sort values for %d keys", len(h.Sort), len(q.Sort))
-		case h.Score != nil && (math.IsNaN(*h.Score) || math.IsInf(*h.Score, 0)):
-			return nil, spoilt("a score that is no number")
-		case h.Sort[len(h.Sort)-1].text != h.ID:
-			return nil, spoilt("hit %.60q is sorted as %.60q", h.ID, h.Sort[len(h.Sort)-1].text)
-		case i > 0 && q.compare(out.Hits[i-1].Sort, h.Sort) >= 0:
-			return nil, spoilt("hits in no order")
-		}
-		seen[h.ID] = true
-	}
-	out.aggs = []partAnswer{{shard, aggs}}
-	return out, q.checkAggs(q.Aggs, aggs)
-}
-
-func (a *Answer) total(text json.RawMessage, untracked bool) error {
-	var t struct {
-		Value    int    `json:"value"`
-		Relation string `json:"relation"`
-	}
-	switch {
-	case untracked:
-		a.Total, a.AtLeast = len(a.Hits), true
-		return nil
-	case len(text) == 0:
-		return spoilt("no total")
-	case text[0] == '{':
-		if err := json.Unmarshal(text, &t); err != nil || t.Relation != "eq" && t.Relation != "gte" {
-			return spoilt("total %.60s", text)
-		}
-	default:
-		if err := json.Unmarshal(text, &t.Value); err != nil {
-			return spoilt("total %.60s", text)
-		}
-	}
-	if t.Value < len(a.Hits) {
-		return spoilt("a total of %d for %d hits", t.Value, len(a.Hits))
-	}
-	a.Total, a.AtLeast = t.Value, t.Relation == "gte"
-	return nil
-}
-
 // checkAggs looks that all that was asked for is there in its form.
 func (q *Request) checkAggs(aggs []Agg, got map[string]any) error {
 	for name, asked := range partAggs(aggs) {
@@ -494,33 +435,3 @@
 	}
 	return cmp.Compare(m, n)
 }
-
-// CheckAnswer looks at a host's answer apart from what was asked: that it is one, in time, of one part that did not
-// fail, of the right index and, where a placement is known, of the right block.
-func CheckAnswer(index string, placed *Placement, shard int, text []byte) error {
-	var a struct {
-		answerHead
-		Hits *struct {
-			Hits []struct {
-				Index   string `json:"_index"`
-				ID      string `json:"_id"`
-				Routing string `json:"_routing"`
-			} `json:"hits"`
-		} `json:"hits"`
-	}
-	if err := jsonv2.Unmarshal(text, &a); err != nil {
-		return spoilt("%v", err)
-	}
-	if err := a.check(a.Hits != nil); err != nil {
-		return err
-	}
-	for _, h := range a.Hits.Hits {
-		if index != "" && h.Index != index {
-			return spoilt("a hit of index %.60q", h.Index)
-		}
-		if err := placed.holds(shard, h.ID, h.Routing); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -343,21 +343,24 @@
 		return text
 	}
 	for name, text := range map[string][]byte{
-		"cut":         good[:len(good)/2],
-		"empty":       []byte(`{}`),
-		"no JSON":     []byte(`hello`),
-		"timed out":   edit(func(m, _ map[string]any) { m["timed_out"] = true }),
-		"a part less": edit(func(m, _ map[string]any) { m["_shards"] = map[string]any{"total": 1, "successful": 0, "failed": 1} }),
-		"no part":     edit(func(m, _ map[string]any) { m["_shards"] = map[string]any{"total": 0, "successful": 0, "failed": 0} }),
-		"doubled":     edit(func(_, h map[string]any) { l := h["hits"].([]any); h["hits"] = []any{l[0], l[0]} }),
-		"unsorted":    edit(func(_, h map[string]any) { l := h["hits"].([]any); h["hits"] = []any{l[1], l[0]} }),
-		"too many":    edit(func(_, h map[string]any) { h["hits"] = append(h["hits"].([]any), h["hits"].([]any)...) }),
-		"total lies":  edit(func(_, h map[string]any) { h["total"] = map[string]any{"value": 1, "relation": "eq"} }),
-		"no total":    edit(func(_, h map[string]any) { delete(h, "total") }),
-		"other index": edit(func(_, h map[string]any) { h["hits"].([]any)[0].(map[string]any)["_index"] = "other" }),
-		"bad score":   []byte(strings.Replace(string(good), `"_score":1`, `"_score":"x"`, 1)),
-		"no sort":     edit(func(_, h map[string]any) { delete(h["hits"].([]any)[0].(map[string]any), "sort") }),
-		"no buckets":  edit(func(m, _ map[string]any) { m["aggregations"] = map[string]any{} }),
+		"cut":          good[:len(good)/2],
+		"empty":        []byte(`{}`),
+		"no JSON":      []byte(`hello`),
+		"timed out":    edit(func(m, _ map[string]any) { m["timed_out"] = true }),
+		"a part less":  edit(func(m, _ map[string]any) { m["_shards"] = map[string]any{"total": 1, "successful": 0, "failed": 1} }),
+		"no part":      edit(func(m, _ map[string]any) { m["_shards"] = map[string]any{"total": 0, "successful": 0, "failed": 0} }),
+		"doubled":      edit(func(_, h map[string]any) { l := h["hits"].([]any); h["hits"] = []any{l[0], l[0]} }),
+		"unsorted":     edit(func(_, h map[string]any) { l := h["hits"].([]any); h["hits"] = []any{l[1], l[0]} }),
+		"too many":     edit(func(_, h map[string]any) { h["hits"] = append(h["hits"].([]any), h["hits"].([]any)...) }),
+		"total lies":   edit(func(_, h map[string]any) { h["total"] = map[string]any{"value": 1, "relation": "eq"} }),
+		"no total":     edit(func(_, h map[string]any) { delete(h, "total") }),
+		"other index":  edit(func(_, h map[string]any) { h["hits"].([]any)[0].(map[string]any)["_index"] = "other" }),
+		"two verdicts": []byte(strings.Replace(string(good), `"timed_out":false`, `"timed_out":true,"timed_out":false`, 1)),
+		"two ids":      []byte(strings.Replace(string(good), `"_id":`, `"_id":"other","_id":`, 1)),
+		"more behind":  append(slices.Clone(good), '}'),
+		"bad score":    []byte(strings.Replace(string(good), `"_score":1`, `"_score":"x"`, 1)),
+		"no sort":      edit(func(_, h map[string]any) { delete(h["hits"].([]any)[0].(map[string]any), "sort") }),
+		"no buckets":   edit(func(m, _ map[string]any) { m["aggregations"] = map[string]any{} }),
 		"no subs": edit(func(m, _ map[string]any) {
 			b := m["aggregations"].(map[string]any)["t#terms"].(map[string]any)["buckets"].([]any)[0].(map[string]any)
 			delete(b, "m#stats")
@@ -368,6 +371,49 @@
 	}
 }
 
+// An answer with a byte changed, left out or put in is read only if it is JSON still, also where it is passed over.
+func TestBrokenAnswers(t *testing.T) {
+	q := parse(t, `{"size":3,"sort":["age"]}`)
+	block := standin.Members{Index: "members", All: members(1, 9)}
+	good, _ := block.Search(q.Part())
+	c, read := rand.New(rand.NewSource(1)), 0
+	for range 60_000 {
+		text, at := slices.Clone(good), c.Intn(len(good))
+		with := " \"\\{}[],:0-.eu\x01\x7ftn9x/"[c.Intn(21)]
+		switch c.Intn(3) {
+		case 0:
+			text[at] = with
+		case 1:
+			text = slices.Delete(text, at, at+1)
+		default:
+			text = slices.Insert(text, at, with)
+		}
+		if _, err := q.ReadAnswer(0, "members", text); err == nil {
+			read++
+			require.True(t, json.Valid(text), "%s", text)
+		}
+	}
+	require.Positive(t, read)
+}
+
+// What a part asks is what it would ask if it were asked itself, and equal searches have equal texts.
+func TestPartText(t *testing.T) {
+	for _, text := range []string{`{}`, `{"size":0,"track_total_hits":true}`, `{"_source":["a*"],"sort":["_score"],"min_score":0.5}`,
+		`{"query":{"bool":{"must":[{"term":{"a":1}}],"must_not":[{"exists":{"field":"b"}}],"should":[{"prefix":{"c":"<x"}},
+			{"match":{"d":{"query":"u v","operator":"and","boost":2}}}],"filter":{"range":{"e":{"gte":1.50,"lt":"z"}}}}},"from":2,"size":3}`,
+		`{"query":{"constant_score":{"filter":{"terms":{"a":["x",9007199254740993,true]}}}},"sort":[{"a":"desc"}],"search_after":["\u00e9"]}`,
+		`{"query":{"ids":{"values":["1","\\"]}},"terminate_after":5,"track_total_hits":7}`, `{"query":{"match_none":{"boost":3}}}`} {
+		q := parse(t, text)
+		require.True(t, json.Valid(q.Part()), "%s", q.Part())
+		require.Equal(t, string(q.Part()), string(parse(t, string(q.Part())).Part()))
+		require.Equal(t, string(q.Part()), string(parse(t, " "+text+" ").Part()))
+	}
+	require.JSONEq(t, `{"query":{"bool":{"boost":2,"minimum_should_match":1,"should":[{"match":{"d":{"query":"u v","operator":"and"}}}]}},
+		"size":10,"sort":[{"age":{"order":"desc","missing":"_last"}},{"_id":{"order":"asc"}}],"track_total_hits":10000,
+		"_source":{"includes":["a"],"excludes":["b"]}}`, string(parse(t, `{"query":{"bool":{"should":[{"match":{"d":{"query":"u v",
+		"operator":"and"}}}],"boost":2}},"sort":[{"age":"desc"}],"_source":{"includes":["a"],"excludes":["b"]}}`).Part()))
+}
+
 func TestTermsBound(t *testing.T) {
 	q := parse(t, `{"size":0,"aggs":{"t":{"terms":{"field":"k","size":3}}}}`)
 	rapid.Check(t, func(t *rapid.T) {
@@ -410,6 +456,7 @@
 	f.Add(good)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		if a, err := q.ReadAnswer(0, "members", text); err == nil {
+			require.True(t, json.Valid(text), "what is no JSON is refused, also where it is passed over")
 			require.True(t, json.Valid(q.Merge(query.Outcome{Answers: []*query.Answer{a}})))
 		}
 	})
