One lost connection counts once, however many parts were on it

Cause: each part that a failed connect or a dropped connection loses was counted by itself (logic.go, landed: 'r.refused+1' and 'r.strikes+1'). One connect that came up too late under two parts was two failed connects in a row, which stand for a restart: with its next answer the replica was taken for cold and got a small share for the whole cold time. One reset under three parts was three in a row, a suspect.

Ruled out: the list (told within 2 s), the slots (40 of 48 free), the cold share of replicas that really started.

Change: the parts of one connection all end in one turn, so the first counts and the others do not (state.go, dropped).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -750,9 +750,9 @@
 		c.flights.until(r, r.restTo)
 		r.trialAt, r.strikes = max(r.trialAt, r.restTo), r.strikes+1
 	case "ConnectError":
-		r.refused, c.fell = r.refused+1, c.now
+		r.refused, c.fell = r.refused+r.dropped(c.now), c.now
 	case "ResetByPeer": // guards against lost connections: their replica has not died for that
-		t.maybe, r.strikes = true, r.strikes+1
+		t.maybe, r.strikes = true, r.strikes+r.dropped(c.now)
 		if float64(wait) > begunLeast*c.shortest() { // sooner is the way's doing, not the part's
 			s.lost, c.fell = s.lost+1, c.now
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -216,6 +216,7 @@
 	strikes    int
 	refused    int // connects that failed since its last answer
 	trialAt    int64
+	droppedAt  int64 // when a connection to it last failed or dropped
 	sentAt     int64 // the last sub-request
 	credit     float64
 	creditAt   int64
@@ -237,6 +238,16 @@
 	r.past.add(now, pastSpan, pace)
 }
 
+// dropped is 1 for the first part that a failed or dropped connection loses, and 0 for the others that it loses.
+// Guards against one connection that counts as many, for the parts that were on it: they all end in one turn.
+func (r *replica) dropped(now int64) int {
+	if r.droppedAt == now {
+		return 0
+	}
+	r.droppedAt = now
+	return 1
+}
+
 // hearsay is a heard count of answers and how much longer than usual they took, as a mean of logarithms, as it
 // was at a time; it goes on decaying.
 type hearsay struct {
