Shed at once what leaves its client too little time for an answer

Cause: a client that comes again with 100 or 200 ms left got all its parts sent and was given up at its limit, and came again at once. Nothing looked at the client's limit on arrival: the check on the latency target passes where a late answer is worth something (EndOfBatch, worthLate) and where answers are quick (ease), and 'hopeless' looked at replicas alone.

Before the first restart, at 2 s, nine of ten searches of one co-ordinator were new tries with 88 or 191 ms to their limit, where a search took 140 ms; each sent 4 or 9 parts and ended as 'giveUp' at that limit. In all 593 + 633 of 3,263 tries ended so, and the first tries beside them waited behind. Ruled out: hung replicas (none yet at 2 s), the slots (20 of 48 in use), the second copies.

Change (logic.go, hopeless): a search that leaves under half of what first tries have, and less than its type takes of late, is shed before anything is sent. Times are kept by type (books.go, spent), so that a quick type is not held against a slow one. Four searches of late at least: as nothing is sent what is known fades, and one goes out again. The scenario 'pressed' fails without.

--- a/logic/books.go
+++ b/logic/books.go
@@ -20,6 +20,7 @@
 func (c *coordinator) Start(seed int64, settings map[string]string) {
 	c.facts, c.chance = newFacts(settings), rand.New(rand.NewSource(seed))
 	c.sets, c.reach = int(c.facts.num("Specifics.Sets")), int(c.facts.num("Specifics.Reach"))
+	c.spells = make([]sum, int(c.facts.opt("Classes.count", 0)))
 	c.tenants = make([]bucket, int(c.facts.opt("Tenants.count", 0)))
 	if c.facts.text["Discovery"] == "subscribe" {
 		c.out.Watch()
@@ -125,6 +126,12 @@
 	}
 }
 
+// spent notes how long a search has taken since it left the queue.
+func (c *coordinator) spent(s *search) {
+	c.spell.add(c.now, rateSpan, float64(c.now-s.left))
+	c.spells[s.qtype].add(c.now, rateSpan, float64(c.now-s.left))
+}
+
 // retook notes how long a further sub-request took, as a logarithm, over the usual.
 func (c *coordinator) retook(t *try, pace float64) {
 	if t.leg > 0 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,6 +24,7 @@
 	fleetSpan  = 20_000    // decay of the common answer time: must follow a slowdown of all within seconds
 	bestCreep  = 1.0 / 3e6 // rise of the shortest answer time a tenth: e-fold in 5 min, a lucky low fades
 	fewAnswers = 8         // answers before a mean is believed: below, one odd part sways it
+	fewSpells  = 4         // searches of a type before their time is believed: fewer bar none, some go out again
 	firstPace  = 2_000     // answer time assumed before any is known: a search part of 200 ms
 
 	slackRatio  = 2.0  // present / shortest answer time at which the cap begins to shrink: ordinary queueing
@@ -180,10 +181,16 @@
 	return can < min(s.need, s.most)-1e-4 && (c.ease() < 1 || !c.enough(s, can))
 }
 
-// hopeless tells whether too few of a search's parts would be answered in useful time, by what own parts at
-// their replicas have taken. Guards against shards whose replicas are all overloaded: the other parts' work
-// would be lost. Harm: what is believed of a shard until it is tried again.
+// hopeless tells whether a search leaves under half a first try's time, and less than its type takes of late,
+// or too few of its parts would be answered in useful time, by what own parts at their replicas have taken.
+// Guards against clients that come again with next to no time, and shards whose replicas are all overloaded:
+// the work would be lost. Harm: what is believed of a type or shard until it is tried again.
 func (c *coordinator) hopeless(s *search) bool {
+	n, total := c.spells[s.qtype].read(c.now, rateSpan)
+	first := c.tryShare * float64(c.facts.span(c.facts.of("Classes", s.qtype, "Deadline")))
+	if left := float64(s.due - c.now); n >= fewSpells && left < min(retryLeft*first, usefulPad*total/n) {
+		return true
+	}
 	in, thin := 0.0, c.thin()
 	for _, p := range s.parts {
 		if !thin || c.inTime(p) {
@@ -833,7 +840,7 @@
 	whole := s.in >= s.need-1e-6
 	if s.step == 1 {
 		s.firstWhole = whole
-		c.spell.add(c.now, rateSpan, float64(c.now-s.left))
+		c.spent(s)
 	}
 	c.out.Answer(s.id, whole && s.firstWhole)
 	if s.step == 1 && c.facts.nth("Specifics.FollowUp", s.qtype, 0) > 0 {
@@ -850,7 +857,7 @@
 		c.answer(s)
 	}
 	if !s.over && s.left > 0 && s.step == 1 {
-		c.spell.add(c.now, rateSpan, float64(c.now-s.left)) // took this long at least: answers alone would flatter
+		c.spent(s) // took this long at least: answers alone would flatter
 	}
 	if !s.over && c.harmless(s) {
 		c.shed(s)
--- a/logic/state.go
+++ b/logic/state.go
@@ -42,9 +42,10 @@
 	limit    float64
 	longest  int // parts of the longest search seen
 	bestAt   int64
-	done     sum // answered parts
-	again    sum // logarithms of answer times over the usual, of further sub-requests
-	spell    sum // time of searches from leaving the queue to the answer
+	done     sum   // answered parts
+	again    sum   // logarithms of answer times over the usual, of further sub-requests
+	spell    sum   // time of searches from leaving the queue to the answer
+	spells   []sum // the same by type
 	tenants  []bucket
 	ways     []way   // by zone
 	taken    []int64 // searches and parts taken in the budget's window
