Find classes and tenants by their own names, and refuse names that two could mean

Cause: a plan's settings are kept in the simulator's flat form, in which blanks and commas become underscores, and the tables by which requests find their class and tenant were made from that form, the later entry in the place of the earlier. So - a client that names class or tenant as the settings do ("acme north") was refused with 400; - of two tenants "a b" and "a_b", or two of one name, both were counted against the later one's share, and of two classes both were handled by the later one's effect, target and need: one customer by another's settings; - hosts of zones "z 1" and "z,1" were of one zone, also to a contract that names one of them; - a tenant without a name stood for requests that name none; `Tenants` as a list of plain names, or an object, counted as no tenants at all, and every X-Tenant was taken.

Ruled out: that the front changes what it reads (http1 leaves blanks, commas and bytes over 127 in a field's value; place() decodes the path); that contracts are at fault (package residency puts all its names into the flat form before it compares, so two names that differ there are never one by chance once the plan has refused those).

Lines at fault: Plan.names (read p.facts), Plan.Parse (looked at no names), Plan.check (Classes.N.Name alone).

Change: readNames keeps the names as the file has them and refuses the rest with a SameName, which says what to do. Requests may still name either form. A zone that is there twice is one zone, as before.

--- a/coordinator/residency.go
+++ b/coordinator/residency.go
@@ -329,7 +329,12 @@
 
 // Site is what a plan says of tenants, types, zones and blocks; contracts are held against it.
 func (p *Plan) Site() residency.Site {
-	names := func(list string) []string { return slices.Sorted(maps.Keys(p.names(list))) }
+	names := func(list string) (names []string) {
+		for _, name := range p.named[list] {
+			names = append(names, facts.PlainText(name))
+		}
+		return names
+	}
 	return residency.Site{Tenants: append([]string{}, names("Tenants")...), Classes: names("Classes"),
 		Zones: append([]string{}, p.list("FailureDomains")...), Blocks: p.Blocks()}
 }
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -103,6 +103,7 @@
 	over   map[string]string // of facts, what an installation has put there
 	next   map[string]string // facts that decisions are held against too; nil for none
 	known  map[string]any
+	named  map[string][]string // names as the file has them, by list of objects and place
 }
 
 // Clock tells the time and wakes.
@@ -191,6 +192,9 @@
 	}
 	p.facts = map[string]string{}
 	facts.Flatten(p.facts, "", settings)
+	if err := p.readNames(settings); err != nil {
+		return nil, err
+	}
 	if p.known, ok = all["known"].(map[string]any); !ok {
 		return nil, errors.New("known is missing")
 	}
@@ -256,6 +260,70 @@
 	return strings.Split(p.facts[name], ",")
 }
 
+// readNames keeps the names of classes and tenants as the file has them: requests bear them so, while the module's form
+// has no blanks and commas. Guards against a request that is handled by what is another's: two classes, tenants or zones
+// that one name stands for in either form.
+func (p *Plan) readNames(settings map[string]any) error {
+	p.named = map[string][]string{}
+	for _, list := range []string{"Classes", "Tenants"} {
+		items, ok := settings[list].([]any)
+		if !ok && settings[list] != nil {
+			return fmt.Errorf("setting %s is no list of objects", list)
+		}
+		seen := map[string]namedAt{}
+		for i, item := range items {
+			m, ok := item.(map[string]any)
+			if !ok {
+				return fmt.Errorf("setting %s is no list of objects", list)
+			}
+			name, place := "", fmt.Sprintf("%s.%d.Name", list, i)
+			switch v := m["Name"].(type) {
+			case nil, map[string]any, []any:
+			case string:
+				name = v
+			default:
+				name = facts.PlainText(v)
+			}
+			if name == "" {
+				return fmt.Errorf("setting %s is missing", place)
+			}
+			if other, twice := seen[facts.PlainText(name)]; twice {
+				return &SameName{place, name, other.place, other.name}
+			}
+			seen[facts.PlainText(name)] = namedAt{place, name}
+			p.named[list] = append(p.named[list], name)
+		}
+	}
+	zones, _ := settings["FailureDomains"].([]any)
+	seen := map[string]namedAt{}
+	for i, zone := range zones {
+		name, place := word(zone), fmt.Sprintf("FailureDomains.%d", i)
+		other, twice := seen[facts.PlainText(name)]
+		if twice && other.name != name { // one that is there twice is one zone
+			return &SameName{place, name, other.place, other.name}
+		}
+		seen[facts.PlainText(name)] = namedAt{place, name}
+	}
+	return nil
+}
+
+type namedAt struct{ place, name string }
+
+// SameName are two names in the settings that a request or a host could mean by one word.
+type SameName struct{ Place, Name, OtherPlace, Other string }
+
+func (e *SameName) Error() string {
+	if e.Name == e.Other {
+		return fmt.Sprintf("setting %s: %q is %s too", e.Place, e.Name, e.OtherPlace)
+	}
+	return fmt.Sprintf("setting %s: %q cannot be told from %q in %s", e.Place, e.Name, e.Other, e.OtherPlace)
+}
+
+// Advice tells an operator what to do.
+func (e *SameName) Advice() string {
+	return "Give each class, tenant and zone of the plan a name of its own; a blank or a comma counts as an underscore."
+}
+
 // check looks for what is needed, so that a faulty file ends the start and not a search.
 func (p *Plan) check() error {
 	if p.facts["Family"] != "fanout" {
@@ -323,11 +391,11 @@
 
 func (p *Plan) count(list string) int { return int(p.fact(list + ".count")) }
 
-// names gives the place of each name in a list of objects.
+// names gives the place of each name in a list of objects: as the file has it, and in the module's form.
 func (p *Plan) names(list string) map[string]int {
 	m := map[string]int{}
-	for i := range p.count(list) {
-		m[p.facts[fmt.Sprintf("%s.%d.Name", list, i)]] = i
+	for i, name := range p.named[list] {
+		m[name], m[facts.PlainText(name)] = i, i
 	}
 	return m
 }
