Refuse counts that are no whole numbers, and times and tries of nothing, at the start

Cause: facts knew counts as amounts, so 0.5 passed, and whoever reads them takes the whole part of it: 0.

Evidence, each with one co-ordinator on loopback and one search, before the change: - Specifics.Sets 0.5: the plan starts, the first search ends the process ("fault in a turn: integer divide by zero"); - Specifics.Ranges 1e12: the first request ends the process (out of memory: blocks seen are marked in room as long as the ring); - Permissions.MaxAttempts 0, DialTimeout 0, ConnIdle 0: the plan starts and every search is shed, with sound hosts; - Specifics.FollowUp 0.5 and Balancers 0: that search is answered; by reading, the module goes on to wait for a second step that the front never begins, and a tenant's bucket is filled at an infinite rate. Without the change TestNumbersThatAreNone gets a plan in the place of an error.

Ruled out: Permissions.StreamsPerConn 0 serves (one call a connection), so only its fractions are refused. RepeatWindow 0 and windows below the pad repeat nothing, which is right. An Effect that is missing is handled as fragile, which harms nobody.

Lines at fault: facts.rules (amount for Balancers, Sets, Reach, Ranges, PerCall, FollowUp, MaxAttempts, ConnIdle, DialTimeout, StreamsPerConn).

They hold for an installation's settings and a rollout's too.

Left: up to 2^31 blocks may be named, and a request's reading then takes a byte for each (bodies.go, ranges).

--- a/coordinator/names_test.go
+++ b/coordinator/names_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -86,3 +87,29 @@
 		require.NoError(t, err)
 	}
 }
+
+// Numbers with which a start would go well and searches, or the process, would fail: half a set is none, and no part can be
+// sent in no tries, on connections that may take no time to come up or are idle at once.
+func TestNumbersThatAreNone(t *testing.T) {
+	plan := string(planOf(t, func(map[string]any) {}))
+	for _, x := range [][3]string{
+		{`"Sets":2`, `"Sets":0.5`, "Specifics.Sets: 0.5 is no whole number"},
+		{`"Reach":1`, `"Reach":1.5`, "Specifics.Reach: 1.5 is no whole number"},
+		{`"Ranges":4`, `"Ranges":1e12`, "Specifics.Ranges: 1e12 is no whole number"},
+		{`"PerCall":2`, `"PerCall":0.5`, "Specifics.PerCall: 0.5 is no whole number"},
+		{`"FollowUp":[0,0,2]`, `"FollowUp":[0,0.5,2]`, "Specifics.FollowUp: place 1: 0.5 is no whole number"},
+		{`"MaxAttempts":3`, `"MaxAttempts":0`, "Permissions.MaxAttempts: 0 is not above 0"},
+		{`"MaxAttempts":3`, `"MaxAttempts":true`, `Permissions.MaxAttempts: "true" is no number`},
+		{`"StreamsPerConn":8`, `"StreamsPerConn":0.5`, "Permissions.StreamsPerConn: 0.5 is no whole number"},
+		{`"ConnIdle":60000`, `"ConnIdle":0`, "Permissions.ConnIdle: 0 is not above 0"},
+		{`"DialTimeout":2000`, `"DialTimeout":0`, "Permissions.DialTimeout: 0 is not above 0"},
+		{`"Balancers":1`, `"Balancers":0`, "Balancers: 0 is not above 0"},
+		{`"Aim":4000`, `"Aim":false`, `Classes.0.Aim: "false" is no number`},
+		{`"SecondCopies":true`, `"SecondCopies":2`, "Permissions.SecondCopies"},
+		{`"Effect":"retryable"`, `"Effect":"Dedup"`, `Classes.0.Effect: "Dedup" is none of`},
+	} {
+		require.Contains(t, plan, x[0])
+		_, err := Parse([]byte(strings.Replace(plan, x[0], x[1], 1)))
+		require.ErrorContains(t, err, x[2])
+	}
+}
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -16,13 +16,13 @@
 
 // rules are by name; a star stands for a place in a list of objects.
 var rules = map[string]rule{
-	"Balancers": amount, "Tick": amount,
-	"Specifics.Sets": amount, "Specifics.Reach": amount, "Specifics.Ranges": amount, "Specifics.PerCall": amount,
+	"Balancers": some, "Tick": amount,
+	"Specifics.Sets": count, "Specifics.Reach": count, "Specifics.Ranges": count, "Specifics.PerCall": count,
 	"Specifics.NeedByClass": each(share), "Specifics.ClassFloor": each(share), "Specifics.ShortWorth": each(share),
-	"Specifics.FollowUp":       each(amount),
+	"Specifics.FollowUp":       each(whole),
 	"Permissions.SecondCopies": toggle, "Permissions.Cancelling": toggle, "Permissions.RetryAfter": toggle,
-	"Permissions.MaxRetryAfter": amount, "Permissions.MaxAttempts": amount, "Permissions.ConnIdle": amount,
-	"Permissions.DialTimeout": amount, "Permissions.StreamsPerConn": amount,
+	"Permissions.MaxRetryAfter": amount, "Permissions.MaxAttempts": count, "Permissions.ConnIdle": some,
+	"Permissions.DialTimeout": some, "Permissions.StreamsPerConn": whole,
 	"Safety.AskWithin": amount, "Safety.Cold": amount, "Safety.ColdFrom": share, "Safety.DrainGrace": amount,
 	"Safety.Fall": amount, "Safety.FallMultiple": amount, "Safety.ExtraFloor": amount, "Safety.FurtherRatio": amount,
 	"Safety.LookBack": amount,
@@ -77,6 +77,35 @@
 	return ""
 }
 
+// some is an amount that nothing can do without.
+func some(text string) string {
+	if wrong := amount(text); wrong != "" {
+		return wrong
+	}
+	if v, _ := strconv.ParseFloat(text, 64); v == 0 {
+		return fmt.Sprintf("%s is not above 0", text)
+	}
+	return ""
+}
+
+// whole guards against a number whose part behind the point is lost where it counts things: half a part is none.
+func whole(text string) string {
+	if wrong := amount(text); wrong != "" {
+		return wrong
+	}
+	if v, _ := strconv.ParseFloat(text, 64); v != math.Trunc(v) || v > math.MaxInt32 {
+		return fmt.Sprintf("%s is no whole number", text)
+	}
+	return ""
+}
+
+func count(text string) string {
+	if wrong := whole(text); wrong != "" {
+		return wrong
+	}
+	return some(text)
+}
+
 func share(text string) string {
 	if wrong := amount(text); wrong != "" {
 		return wrong
