Keep discovery's address where a new plan leaves it to the variable

Cause: at SIGHUP Reloads takes the file's own address once it differs from the last file's, so that a move holds over GW_DISCOVERY. A file with no address differs too: discovery became "", though Read had just found it sound by the variable. Every call then failed to connect until the next plan, and changes of the list went untold.

Evidence: TestVariablesAtASignal without the change gets "" in the place of "variable" for a file without `discovery`, and for one with an empty one, after a file that had it.

Ruled out: a half-written file (refused, the old plan holds), and settings of another deployment (nothing but discovery and descriptors follows; differs names the rest; GW_NAME and GW_LISTEN hold over the file at a signal as at the start). TestNewOrderAtASignal holds that a plan with classes and tenants in another order changes what no search of the running co-ordinator is handled by; it passes without this change.

Line at fault: Parse sets inFile from the file alone, and Reloads compares it with no look at whether there is one.

Change: Read notes what is in force as the file's address where the file has none.

--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -3,6 +3,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -162,6 +163,7 @@
 			return nil, fmt.Errorf("%s is not set, nor is it in the file", name)
 		}
 	}
+	p.inFile = cmp.Or(p.inFile, p.Discovery) // guards against a file that leaves it to the variable later on: it names no move
 	return p, nil
 }
 
