Refuse a setting that is told in an object and by its flat name too

Cause: Flatten goes through an object's names in the order of a map, which Go draws anew each time, and lets the later one hold. A plan with `Classes` and, beside it, "Classes.0.Aim" (as one who comes from the simulator's wire may write) was one of two plans by chance: co-ordinators of one fleet, and lives of one co-ordinator, worked by other settings. With "Classes.count" the same.

Ruled out: lists and plain names, which are told in their order; two equal names in one object, of which JSON gives the last.

Line at fault: facts.Flatten, case map.

Change: names go in order, and a name that is there already is an error, for a plan, an installation's file and a change in stages. A flat name alone is taken as before.

--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -193,8 +193,7 @@
 		return nil, errors.New("settings are missing")
 	}
 	p.facts = map[string]string{}
-	facts.Flatten(p.facts, "", settings)
-	if err := p.readNames(settings); err != nil {
+	if err := cmp.Or(facts.Flatten(p.facts, "", settings), p.readNames(settings)); err != nil {
 		return nil, err
 	}
 	if p.known, ok = all["known"].(map[string]any); !ok {
--- a/facts/facts.go
+++ b/facts/facts.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"regexp"
 	"slices"
@@ -145,33 +146,47 @@
 }
 
 // Flatten names settings as the simulator's wire does: paths, lists of plain values joined by commas, lists of objects
-// by number with their count.
-func Flatten(into map[string]string, path string, v any) {
+// by number with their count. An error names a setting that is told by its flat name too: which of both would hold is not said.
+func Flatten(into map[string]string, path string, v any) (err error) {
+	put := func(name, text string) {
+		if _, twice := into[name]; twice && err == nil {
+			err = fmt.Errorf("setting %s is there twice", name)
+		}
+		into[name] = text
+	}
+	more := func(name string, v any) {
+		if wrong := Flatten(into, name, v); err == nil {
+			err = wrong
+		}
+	}
 	switch v := v.(type) {
 	case map[string]any:
-		for name, more := range v {
+		for _, name := range slices.Sorted(maps.Keys(v)) { // the same fault each time
+			at := name
 			if path != "" {
-				name = path + "." + name
+				at = path + "." + name
 			}
-			Flatten(into, name, more)
+			more(at, v[name])
 		}
 	case []any:
 		var plain []string
 		for i, item := range v {
 			switch item.(type) {
 			case map[string]any, []any:
-				Flatten(into, path+"."+strconv.Itoa(i), item)
-				into[path+".count"] = strconv.Itoa(len(v))
+				more(path+"."+strconv.Itoa(i), item)
 			default:
 				plain = append(plain, PlainText(item))
 			}
 		}
-		if len(plain) == len(v) {
-			into[path] = strings.Join(plain, ",")
+		if len(plain) < len(v) {
+			put(path+".count", strconv.Itoa(len(v)))
+		} else {
+			put(path, strings.Join(plain, ","))
 		}
 	default:
-		into[path] = PlainText(v)
+		put(path, PlainText(v))
 	}
+	return err
 }
 
 // PlainText is a plain value as the wire writes it.
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -355,6 +355,9 @@
 
 // settings have to be such as the module reads, each by itself; lists by query type are held against the plan later.
 func (c *checker) settings(at string, settings map[string]any) {
+	if err := facts.Flatten(map[string]string{}, "", settings); err != nil {
+		c.fault(at, "%v", err)
+	}
 	over := Over(settings)
 	for _, name := range slices.Sorted(maps.Keys(over)) {
 		path := at + "." + index.ReplaceAllString(name, "[$1]")
--- a/rollout/change.go
+++ b/rollout/change.go
@@ -172,7 +172,10 @@
 		d.Fault("$.then", "%.40q is neither back nor stop", v.Then)
 	}
 	c.Then = then
-	if facts.Flatten(c.Settings, "", v.Settings); len(v.Settings) == 0 {
+	if err := facts.Flatten(c.Settings, "", v.Settings); err != nil {
+		d.Fault("$.settings", "%v", err)
+	}
+	if len(v.Settings) == 0 {
 		c.Settings = map[string]string{}
 	}
 	if len(c.Settings) > settingsMost {
