A store that another deployment has written is not believed

Cause: the store kept no word of whose it is (coordinator/keeping.go, opened: starts, list and notes are read by their keys alone), and its list goes before the plan's. A co-ordinator that was given another customer's path sent searches to that one's hosts.

Evidence: two co-ordinators on loopback, another tenant, hosts of the same ids, discovery away: of the second's 32 parts all went to the first's hosts (12 became 44 there). Ruled out: discovery (it was away), the members' guards (they look at ids and shares).

Change: beside the starts stands whose store it is: name, classes, tenants, zones, kinds, sets, reach and blocks of the plan. Another one's list and notes are taken out in the write that notes the start, with a warning that says what to do. A store from before this counts as its own. Not done: the store of a fleet (cmd/chalkring), whose identity is yet to be decided.

--- a/coordinator/keeping.go
+++ b/coordinator/keeping.go
@@ -34,6 +34,7 @@
 	startsKey   = "starts"
 	listKey     = "list"
 	notesKey    = "notes"
+	whoseKey    = "whose"
 )
 
 // Keep keeps what a restart can use on disk: the list in force, what the module knows of hosts, starts and events.
@@ -44,6 +45,7 @@
 	alone  bool        // nothing else is in the store
 	budget work.Budget // of its writes
 	plan   int64       // version of the plan's list
+	whose  string      // the plan's own, as Plan.whose tells it
 	clock  Clock
 	log    *notes
 	own    context.CancelFunc
@@ -76,7 +78,7 @@
 	version, _ := amount(plan.known["version"])
 	ctx, stop := context.WithCancel(context.Background())
 	opening, enough := context.WithCancel(ctx)
-	k := &Keep{path: path, alone: alone, budget: budget, plan: int64(version), clock: clock, log: newNotes(clock, log.Handler()),
+	k := &Keep{path: path, alone: alone, budget: budget, plan: int64(version), whose: plan.whose(), clock: clock, log: newNotes(clock, log.Handler()),
 		own: stop, enough: enough, opened: make(chan struct{}), turn: make(chan struct{}, 1)}
 	k.discovery.Store(k.plan)
 	k.writes.Go(func() { k.log.write(ctx) })
@@ -130,9 +132,18 @@
 			return err
 		}
 	}
+	// Guards against a store that another deployment has written: its hosts are another customer's. A store from before this
+	// was noted counts as this one's. Harm: where classes, tenants or zones are added, the next start knows what its plan says.
+	var others []string
+	if whose := read[string](k, s, whoseKey); whose != "" && whose != k.whose {
+		k.log.Warn("left_out", "what", "list and notes", "why", "another name or other classes, tenants, zones or sets wrote them",
+			"do", "Give each deployment a store of its own; this one is written anew from now on.")
+		others = []string{listKey, notesKey}
+	}
 	text, err := cbor.Marshal(starts)
-	if err == nil {
-		err = s.Put(context.Background(), keptBucket, map[string][]byte{startsKey: text}, nil)
+	mine, err2 := cbor.Marshal(k.whose)
+	if err = errors.Join(err, err2); err == nil {
+		err = s.Put(context.Background(), keptBucket, map[string][]byte{startsKey: text, whoseKey: mine}, others)
 	}
 	if err == nil {
 		k.events, err = store.NewJournal(s, eventBucket, 0)
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -401,6 +401,12 @@
 	return m
 }
 
+// whose tells one deployment's co-ordinator from others: its name, and what its hosts and searches are named and placed by.
+func (p *Plan) whose() string {
+	return fmt.Sprintf("%q", []any{p.Name, p.named["Classes"], p.named["Tenants"], p.list("FailureDomains"), p.list("MachineTypes"),
+		p.facts["Specifics.Sets"], p.facts["Specifics.Reach"], p.facts["Specifics.Ranges"]})
+}
+
 // Bound tells the runtime what this co-ordinator was given of its machine.
 func (p *Plan) Bound() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
