Call back what was not begun to a replica that drains before its grace is over

Cause: a call put on a connection that was not up yet stayed in its backlog however the replica then stood. The list retires the connections of a replica that is gone once nothing is out on them, and does nothing to those of one that drains, so the writer sent the frame when the connection came up, up to DialTimeout later. For drains the time of a send counts from its first byte, and the grace is shorter than that.

Seen: with connects to the chosen holder held back for 0.4 s and a grace of 250 ms, the part arrived there after the grace in each of three cases: told as draining, as removed, and left out of a whole list.

Ruled out: parts sent in the turn of the list and after it (the module chooses from the list of that turn), frames on connections that stand (written at once).

Lines at fault: listInForce and the steps of readList and publish, which told the module and the connections alone.

Change: from a list on which a replica drains or is gone, half of the grace later, calls of which no byte is begun are taken back (Ignored: never sent), so that the module looks for another holder. A replica that is up again by then keeps them.

--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -421,7 +421,7 @@
 	defer stop()
 	o := &owner{plan: p, Means: m, log: newNotes(m.Clock, m.Log.Handler()), g: g, ctx: work, queue: make(chan func(), queueRoom),
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*moduleWake{},
-		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
+		fleet: map[string]*replica{}, leaving: map[*replica]*wake{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
 		blocks: p.Blocks(), streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
 		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{},
 		room: max(roomLeast, roomShare*float64(p.MemoryMB)*(1<<20))}
