Begin the waits for lists again when discovery moves while one is waited out

Cause: the wait before the next call and a move came together in one select, and the branch of the move set only the place. The grown wait then held at the new place, and doubled on top; where the module asks, its own waits were grown too.

Ruled out: a lost subscription after one, two or three moves, there and back, to the same place, under a silent call and while discovery is down (all told); versions that are behind the old place's (the first answer counts).

Lines at fault: follow, the move in wait and in the select on asks, and the pause doubled after the wait.

Change: one way to move, which begins the waits again; the module hears of changes with nothing in them, which begin its own again.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -145,17 +145,25 @@
 // follow keeps the list up to date. Where the settings leave the asking to the module, each of its
 // subscriptions lasts until it fails, and the module hears of that; elsewhere the list comes by itself, and
 // failures here are followed by waits that grow, spread by chance. When discovery has moved, the whole list is
-// asked for at the new place at once, under the subscription there was.
+// asked for at the new place at once, under the subscription there was; waits that have grown at the old one begin
+// again.
 func (o *owner) follow() error {
 	asked := o.plan.facts["Discovery"] == "subscribe"
 	chance, pause, moved := rand.New(rand.NewSource(o.plan.seed)), askPause, false
 	a := asking{at: o.plan.Discovery}
 	a.version, _ = amount(o.plan.known["version"])
+	move := func(at string) {
+		a.at, a.anew, a.failed = at, true, false
+		if moved, pause = true, askPause; asked {
+			v := int64(a.version)
+			o.post(func() { o.module.ListDone("Partial", v) }) // nothing new: the module's waits begin again too
+		}
+	}
 	wait := func(d time.Duration) {
 		select {
 		case <-o.Clock.After(d):
-		case a.at = <-o.moves:
-			a.anew, moved = true, true
+		case at := <-o.moves:
+			move(at)
 		case <-o.ctx.Done():
 		}
 	}
@@ -163,8 +171,8 @@
 		if asked && !moved {
 			select {
 			case <-o.asks:
-			case a.at = <-o.moves:
-				a.anew, moved = true, true
+			case at := <-o.moves:
+				move(at)
 			case <-o.ctx.Done():
 				return nil
 			}
@@ -190,7 +198,7 @@
 		}
 		stop()
 		if moved = next != ""; moved {
-			a.at, a.anew, a.failed, pause = next, true, false, askPause
+			move(next)
 			continue
 		}
 		if o.ctx.Err() != nil {
@@ -206,8 +214,9 @@
 			o.post(func() { o.module.ListDone("Error", 0) })
 			continue
 		}
-		wait(pause/2 + time.Duration(chance.Int63n(int64(max(pause, spread)))))
+		d := pause/2 + time.Duration(chance.Int63n(int64(max(pause, spread))))
 		pause = min(2*pause, askPauseMost)
+		wait(d)
 	}
 }
 
