Bound the time from one attempt at discovery to the next, whatever the waits have grown to

Cause: waits between attempts were bounded, the time from the begin of one to the begin of the next was not: a call that fell silent took 3 s before the wait began. Where the module asks, its waits follow the setting for asking, and reach 10 s where that is long or left out. A change counts as told 6 s after discovery had it.

Ruled out: a byte every 100 ms that keeps a call alive (its deadline is for the whole answer), a subscription that is lost after any of ten kinds of failure, 1, 3 or 10 in a row.

Lines at fault: follow, the wait on asks without an end and the pauses that did not look at the call's own time.

Change: each attempt notes by when the next has to begin (askLate, or the end of a longer call); waits and the spread over all co-ordinators fit in what is left, and the module's ask is not waited for beyond it. An ask that comes after that is dropped with the next failure, which the module is told of and asks after.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -140,17 +140,22 @@
 	anew    bool // the whole list has to come first: versions may have begun again there
 	failed  bool // the last call has
 	sound   bool // a call has been answered since one failed
+
+	due time.Time // by which the next attempt has to begin if this one fails
 }
 
+// left is how long the next attempt may wait; the first wait after a long call fits in.
+func (a *asking) left() time.Duration { return max(askPause*3/2, time.Until(a.due)) }
+
 // follow keeps the list up to date. Where the settings leave the asking to the module, each of its
 // subscriptions lasts until it fails, and the module hears of that; elsewhere the list comes by itself, and
 // failures here are followed by waits that grow, spread by chance. When discovery has moved, the whole list is
 // asked for at the new place at once, under the subscription there was; waits that have grown at the old one begin
-// again.
+// again. Whoever asks, an attempt begins so soon after the last that what this may have missed is told in time.
 func (o *owner) follow() error {
 	asked := o.plan.facts["Discovery"] == "subscribe"
 	chance, pause, moved := rand.New(rand.NewSource(o.plan.seed)), askPause, false
-	a := asking{at: o.plan.Discovery}
+	a := asking{at: o.plan.Discovery, due: time.Now().Add(askLate)}
 	a.version, _ = amount(o.plan.known["version"])
 	move := func(at string) {
 		a.at, a.anew, a.failed = at, true, false
@@ -169,15 +174,17 @@
 	}
 	for spread := time.Duration(0); ; {
 		if asked && !moved {
+			late := time.NewTimer(a.left()) // guards against waits of the module that take no account of a call that was silent
 			select {
 			case <-o.asks:
+			case <-late.C:
 			case at := <-o.moves:
 				move(at)
 			case <-o.ctx.Done():
-				return nil
 			}
+			late.Stop()
 		}
-		if asked && !moved && spread > 0 {
+		if spread = min(spread, time.Until(a.due)); asked && !moved && spread > 0 {
 			wait(time.Duration(chance.Int63n(int64(spread))))
 		}
 		if o.ctx.Err() != nil {
@@ -211,10 +218,15 @@
 		}
 		a.sound = false
 		if asked {
+			select {
+			case <-o.asks: // of a subscription before this one
+			default:
+			}
 			o.post(func() { o.module.ListDone("Error", 0) })
 			continue
 		}
-		d := pause/2 + time.Duration(chance.Int63n(int64(max(pause, spread))))
+		p := min(pause, a.left()*2/3)
+		d := p/2 + time.Duration(chance.Int63n(int64(max(p, min(spread, a.left()-p/2)))))
 		pause = min(2*pause, askPauseMost)
 		wait(d)
 	}
@@ -239,6 +251,7 @@
 // watch makes one call after another, until one fails.
 func (o *owner) watch(ctx context.Context, a *asking, chance *rand.Rand) error {
 	for news := false; ; {
+		a.due = time.Now().Add(askLate)
 		up, stop := context.WithTimeout(ctx, watchSlack)
 		conn, err := o.Dial(up, "tcp", a.at)
 		stop()
@@ -264,6 +277,7 @@
 			}
 			asked, before, anew := time.Now(), a.version, a.anew
 			conn.SetDeadline(asked.Add(wait + watchSlack))
+			a.due = asked.Add(max(askLate, wait+watchSlack))
 			if _, err = conn.Write(http1.AppendGet(nil, target, a.at)); err != nil {
 				break
 			}
--- a/coordinator/list_moments_test.go
+++ b/coordinator/list_moments_test.go
@@ -350,6 +350,50 @@
 	}
 }
 
+// What happens to attempts in a row, on all of 1 and of 300 co-ordinators, and when a change is told that discovery had as
+// the last of them began: within 6 s, or 2 s after the wait of the call.
+func TestWhenAListIsToldAfterFailures(t *testing.T) {
+	for _, fault := range []string{"silent", "half", "trickle", "unanswered", "refused", "lost", "503", "empty", "unreadable", "same"} {
+		for _, within := range []any{10_000.0, 60_000.0, nil} { // the settings' time to ask: the module's waits follow it
+			t.Run(fmt.Sprint(fault, " ", within), func(t *testing.T) {
+				worst := map[int]time.Duration{}
+				for _, by := range []string{"subscribe", "automatic"} {
+					for _, n := range []int{1, 300} {
+						for _, times := range []int{1, 3, 10} {
+							synctest.Test(t, func(t *testing.T) {
+								faults := slices.Repeat([]string{fault}, times)
+								if fault == "unanswered" || fault == "refused" {
+									faults = append([]string{"lost"}, faults...)
+								}
+								d := newLists(faults...)
+								f := follow(t, times, map[string]*lists{"first": d}, func(s map[string]any) {
+									s["Discovery"], s["Balancers"] = by, n
+									if s["Safety"].(map[string]any)["AskWithin"] = within; within == nil {
+										delete(s["Safety"].(map[string]any), "AskWithin")
+									}
+								}, nil)
+								defer f.stop()
+								f.until("all failures", func() bool { return d.left() == 0 })
+								began, limit := d.attempts[len(d.attempts)-1], 6*time.Second
+								if wait := f.owner.watchWait(); len(faults) == 1 {
+									limit = max(limit, wait+2*time.Second)
+								}
+								d.tell(101, hosts("10.0.0.2:1"))
+								took := f.told("version=101").Sub(began)
+								require.LessOrEqual(t, took, limit, "%s, %d co-ordinators, %d in a row", by, n, times)
+								if limit == 6*time.Second {
+									worst[times] = max(worst[times], took)
+								}
+							})
+						}
+					}
+				}
+				t.Log(worst)
+			})
+		}
+	}
+}
+
 // A part waits for a connection that comes up late when its replica begins to drain, is removed, or is not in a whole list:
 // nothing goes out there once the connection is up, and the search is answered by the other holder.
 func TestNothingGoesToADrainLate(t *testing.T) {
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -52,6 +52,7 @@
 	watchSlack   = time.Second             // an answer later than that after the wait will not come
 	askPause     = 500 * time.Millisecond  // first wait before a list that comes by itself is asked for again
 	askPauseMost = 3 * time.Second         // longest such wait, half of it and so much by chance: what was missed counts as told after 6 s
+	askLate      = 5 * time.Second         // from the begin of an attempt that fails to the next at the latest: what was missed counts as told after 6 s
 	lossEach     = 10 * time.Millisecond   // between calls of all co-ordinators that lost discovery at once
 	lossMost     = 2 * time.Second         // over which they are spread at the most: what was missed counts as told after 6 s
 	lateLook     = 50 * time.Millisecond   // once more for a request whose time ran out: it may be there already
