Ask for the whole list anew once an answer is older than the list

Cause: an answer with a lower version than the list's failed the call, and the next call asked from the same version again. Where discovery has lost its versions, all its answers are lower until they have caught up: the list stayed as it was for good, hosts that drain or are gone in it.

Seen, in a test's own time: version 50 told, then discovery at 3 with another list, watch open or lost. After 4 minutes and some 50 calls nothing was told, asked or by itself. TestVersionsThatBeginAgain fails so without the change.

Ruled out: one answer that is late, which costs a call for the whole list and leaves it as it is; discovery that has just begun and knows no host, whose list is older and empty and changes nothing, also as the first answer after a move.

Lines at fault: heardList, the case of v < version.

Change: such an answer still fails the call, and the next asks for the whole list, which counts whatever its version. An empty older one is asked for again.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -289,6 +289,7 @@
 			if err == nil {
 				err = o.heardList(body, anew, &a.version)
 			}
+			a.anew = a.anew || errors.Is(err, begunAgain)
 			news = a.version != before
 			if err == nil && !anew && !news && time.Since(asked) < wait/2 {
 				err = errors.New("nothing new, and no wait") // guards against asking without end
@@ -311,6 +312,11 @@
 	}
 }
 
+// begunAgain is an answer that is older than the list: the whole list comes first then, whatever its version. Guards
+// against discovery that has lost its versions: the list would stay as it is until they had caught up. Harm: an answer
+// that is merely late costs a call for the whole list.
+var begunAgain = errors.New("versions may have begun again")
+
 // heardList takes one answer; one that is older than the list or cannot be read leaves the list as it is. The
 // first from a new place counts whatever its version: versions may have begun again there.
 func (o *owner) heardList(body []byte, anew bool, version *float64) error {
@@ -326,9 +332,11 @@
 	switch {
 	case anew && !full:
 		return errors.New("changes in place of the whole list")
+	case v < *version && full && len(hosts) == 0: // guards against discovery that has just begun and knows no one yet
+		return fmt.Errorf("version %.0f after %.0f, and no hosts", v, *version)
 	case anew:
 	case v < *version:
-		return fmt.Errorf("version %.0f after %.0f", v, *version)
+		return fmt.Errorf("version %.0f after %.0f: %w", v, *version, begunAgain)
 	case v == *version:
 		return nil
 	}
--- a/coordinator/list_moments_test.go
+++ b/coordinator/list_moments_test.go
@@ -58,6 +58,17 @@
 	faults   []string
 	attempts []time.Time
 	targets  []string
+	conns    []net.Conn
+}
+
+// lose ends all connections.
+func (d *lists) lose() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, conn := range d.conns {
+		conn.Close()
+	}
+	d.conns = nil
 }
 
 func newLists(faults ...string) *lists {
@@ -114,6 +125,9 @@
 
 func (d *lists) serve(conn net.Conn) {
 	defer conn.Close()
+	d.mu.Lock()
+	d.conns = append(d.conns, conn)
+	d.mu.Unlock()
 	rd := http1.NewReader(conn, make([]byte, bufferSize))
 	for {
 		_, target, _, _, _, err := rd.Request()
@@ -394,6 +408,74 @@
 	}
 }
 
+// Versions that begin again at one place, as discovery has lost them: the list there is in force after the next call that
+// waits it out, or soon after the connection is lost. Until discovery knows a host again, the last list holds. An answer
+// that is merely late changes nothing.
+func TestVersionsThatBeginAgain(t *testing.T) {
+	for name, x := range map[string]struct {
+		lost    bool     // the watch is, as they do
+		faults  []string // after that
+		version int      // that discovery has from then on
+		hosts   []standin.Entry
+		later   time.Duration // after which it knows hosts again
+		limit   time.Duration // beside the wait of a call
+	}{
+		"the watch stays open":        {false, nil, 3, hosts("10.0.0.3:1"), 0, 4 * time.Second},
+		"the watch is lost":           {true, nil, 3, hosts("10.0.0.3:1"), 0, 6 * time.Second},
+		"it knows no one for a time":  {true, nil, 0, nil, 10 * time.Second, 6 * time.Second},
+		"an answer that is late":      {true, []string{"older"}, 51, hosts("10.0.0.3:1"), 0, 6 * time.Second},
+		"it knows no one, then loses": {true, []string{"older", "lost"}, 0, nil, 10 * time.Second, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			worst := time.Duration(0)
+			for _, by := range []string{"subscribe", "automatic"} {
+				for _, n := range []int{1, 300} {
+					for seed := range 5 {
+						synctest.Test(t, func(t *testing.T) {
+							d := newLists()
+							f := follow(t, seed, map[string]*lists{"first": d}, func(s map[string]any) {
+								s["Discovery"], s["Balancers"] = by, n
+							}, nil)
+							defer f.stop()
+							time.Sleep(time.Second)
+							d.tell(50, hosts("10.0.0.2:1"))
+							f.told("version=50 ")
+							time.Sleep(100 * time.Millisecond) // the next call has come
+							wait := f.owner.watchWait()
+							d.mu.Lock()
+							d.faults = slices.Clone(x.faults)
+							d.mu.Unlock()
+							if d.tell(x.version, x.hosts); x.lost {
+								d.lose()
+								wait = 2 * time.Second
+							}
+							began := time.Now()
+							if time.Sleep(x.later); x.later > 0 {
+								look := make(chan int)
+								f.owner.post(func() { look <- len(f.owner.fleet) })
+								require.Equal(t, 2, <-look, "the last list holds")
+								d.tell(x.version+1, hosts("10.0.0.3:1"))
+								began = time.Now()
+							}
+							f.until("the new list is in force", func() bool {
+								look := make(chan string)
+								f.owner.post(func() { look <- f.owner.fleet["a0"].addr })
+								return <-look == "10.0.0.3:1"
+							})
+							took := time.Since(began)
+							worst = max(worst, took)
+							require.LessOrEqual(t, took, wait+x.limit, "%s, %d co-ordinators, seed %d", by, n, seed)
+							d.tell(x.version+2, hosts("10.0.0.4:1")) // and the watch works from there
+							require.NotZero(t, f.told(fmt.Sprintf("version=%d ", x.version+2)))
+						})
+					}
+				}
+			}
+			t.Log(worst)
+		})
+	}
+}
+
 // A part waits for a connection that comes up late when its replica begins to drain, is removed, or is not in a whole list:
 // nothing goes out there once the connection is up, and the search is answered by the other holder.
 func TestNothingGoesToADrainLate(t *testing.T) {
