Count a version of discovery's as had only once several sources' list has taken it

Cause: with several sources of lists, an answer was handed to the membership's goroutine and its version counted as had before that had looked at it. Of one that it refused (a host twice, an address twice, a weight below 0), the changes were lost: the next call asked for what came after them, and a drain among them was never heard of. And a call that was sound but changed nothing did not begin the module's waits again there, as the module hears of lists alone.

Seen: after refused changes of version 8 the next call asked from 8; it has to ask from 7.

Ruled out: lists that are held back (they are taken later, with changes of them), one source alone (a list is read whole before its version counts).

Lines at fault: heardList, the version set before the list is handed on; watch, the case in which the module is told of a sound call.

Change: the membership answers whether it has refused; then the call has failed and the same changes are asked for again.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -296,7 +296,7 @@
 			}
 			if err == nil {
 				a.sound, a.anew = true, false
-				if a.failed && !news && !anew { // the module's waits begin again too: it hears of lists alone
+				if a.failed && (!news && !anew || o.members != nil) { // the module's waits begin again too: it hears of lists alone
 					v := int64(a.version)
 					o.post(func() { o.module.ListDone("Partial", v) })
 				}
@@ -340,17 +340,18 @@
 	case v == *version:
 		return nil
 	}
-	*version = v
 	how := "Partial"
 	if full {
 		how = "Complete"
 	}
 	if o.members != nil {
-		if !o.members.discovered(listTold("discovery", members.Discovery, int64(v), full, anew, hosts)) {
-			return closing
+		err := o.members.discovered(listTold("discovery", members.Discovery, int64(v), full, anew, hosts))
+		if err == nil {
+			*version = v
 		}
-		return nil
+		return err
 	}
+	*version = v
 	if !o.post(func() { tell(how) }) {
 		return closing
 	}
--- a/coordinator/list_moments_test.go
+++ b/coordinator/list_moments_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chalkring/internal/http1"
+	"chalkring/members"
 	"chalkring/standin"
 )
 
@@ -543,3 +544,50 @@
 		})
 	}
 }
+
+// Where lists have several sources, changes of discovery's that are refused are told again until they can be taken: none of
+// them is lost with the version that brought it.
+func TestRefusedChangesAreToldAgain(t *testing.T) {
+	r := startIn(t, nil, 256, nil, nil, nil, func(m *Means) { m.Lists = make(chan members.Told) })
+	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.Calls)
+	good := fmt.Sprintf(`{"version":8,"full":false,"servers":[%s,%s]}`, r.entry("a0", "draining"), r.entry("b1", "up"))
+	bad := strings.Replace(good, `"state":"up","weight":1.0`, `"state":"up","weight":-1.0`, 1)
+	require.NotEqual(t, good, bad)
+	r.list.Answers <- bad
+	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.Calls)
+	r.logged("event=list_refused")
+	r.list.Answers <- good
+	require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.Calls)
+	c := r.call()
+	for i := range 10 {
+		c.want(fmt.Sprint("q", i), "all", 200, wholeOfAll)
+	}
+	require.Zero(t, r.replicas["a0"].Took())
+	r.end()
+}
+
+// The module's waits begin again with a sound call, also where several sources make the list and it does not change.
+func TestWaitsBeginAgainWithSeveralSources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newLists()
+		f := follow(t, 1, map[string]*lists{"first": d}, nil, func(m *Means) { m.Lists = make(chan members.Told) })
+		defer f.stop()
+		fail := func(times int) {
+			d.mu.Lock()
+			d.faults = slices.Repeat([]string{"lost"}, times)
+			d.mu.Unlock()
+			d.lose()
+			f.until("failures", func() bool { return d.left() == 0 })
+		}
+		time.Sleep(time.Second)
+		d.tell(50, hosts("10.0.0.2:1"))
+		f.told("how=Complete", "version=2 ")
+		fail(6)
+		d.tell(51, hosts("10.0.0.2:1")) // a version with no change in it
+		time.Sleep(10 * time.Second)
+		fail(1)
+		d.tell(101, hosts("10.0.0.3:1"))
+		began := time.Now()
+		require.LessOrEqual(t, f.told("how=Complete", "version=3 ").Sub(began), 1500*time.Millisecond)
+	})
+}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -13,14 +13,20 @@
 type membership struct {
 	o    *owner
 	book *members.Book
-	told chan members.Told   // from discovery
+	told chan discovered     // from discovery
 	more <-chan members.Told // from other sources
 	held map[string]string   // lists that are held back, as they were last logged
 }
 
+// discovered is what discovery has told; refused hears why it is refused, or nil.
+type discovered struct {
+	members.Told
+	refused chan error
+}
+
 // newMembership begins with the plan's list.
 func newMembership(o *owner, more <-chan members.Told, version int64, known []listedHost) *membership {
-	m := &membership{o: o, book: members.New(o.plan.MemberRules()), told: make(chan members.Told), more: more, held: map[string]string{}}
+	m := &membership{o: o, book: members.New(o.plan.MemberRules()), told: make(chan discovered), more: more, held: map[string]string{}}
 	m.take(listTold("plan", members.Plan, version, true, false, known))
 	return m
 }
@@ -39,13 +45,20 @@
 	return t
 }
 
-// discovered hands discovery's list on; false once the co-ordinator has ended.
-func (m *membership) discovered(t members.Told) bool {
+// discovered hands discovery's list on, and tells why it is refused. Guards against a version that counts as had while its
+// changes are not: they would not be told again.
+func (m *membership) discovered(t members.Told) error {
+	d := discovered{t, make(chan error, 1)}
+	select {
+	case m.told <- d:
+	case <-m.o.ctx.Done():
+		return closing
+	}
 	select {
-	case m.told <- t:
-		return true
+	case err := <-d.refused:
+		return err
 	case <-m.o.ctx.Done():
-		return false
+		return closing
 	}
 }
 
@@ -58,14 +71,16 @@
 		}
 		changed := false
 		select {
-		case t := <-m.told:
-			changed = m.take(t)
+		case d := <-m.told:
+			var err error
+			changed, err = m.take(d.Told)
+			d.refused <- err
 		case t, ok := <-m.more:
 			if !ok {
 				m.more = nil
 				continue
 			}
-			changed = m.take(t)
+			changed, _ = m.take(t)
 		case <-due:
 			changed = m.book.Tick(o.clock())
 		case <-o.ctx.Done():
@@ -78,15 +93,15 @@
 }
 
 // take tells the book a list, and the log what the book thinks of it.
-func (m *membership) take(t members.Told) bool {
+func (m *membership) take(t members.Told) (changed bool, err error) {
 	for i := range t.Hosts {
 		t.Hosts[i].Zone, t.Hosts[i].Kind = facts.PlainText(t.Hosts[i].Zone), facts.PlainText(t.Hosts[i].Kind)
 	}
-	changed, err := m.book.Tell(m.o.clock(), t)
+	changed, err = m.book.Tell(m.o.clock(), t)
 	if err != nil {
 		m.o.log.often("list_refused "+t.Source, "list_refused", "source", t.Source, "error", err)
 		m.o.event("list_refused", t.Source+": "+err.Error())
-		return false
+		return false, err
 	}
 	held := m.book.Held()
 	if why := held[t.Source]; why != "" && why != m.held[t.Source] {
@@ -97,7 +112,7 @@
 		m.o.Keep.discovery.Store(t.Version)
 	}
 	m.held = held
-	return changed
+	return changed, nil
 }
 
 // publish puts the list in force in the owner's place, in one turn; false once the co-ordinator has ended.
