A frame is written once its connection is up and tells the time left then

Cause: the frame of a call was written as its connection was opened and then waited in the backlog until that was up, for up to DialTimeout. Its d= was the time left to the client at the opening: on a connection 1.5 s late it tells 1.5 s too much.

Seen: TestTimeToldOnALateConnection holds connections back for 0.3 s under a search of a client that gives 8 s. Ruled out: a backlog of a connection that is up (a socket takes frames at once; a stuck one ends); a part whose time is over, or that is called off, while it waits (takeBack gets it back, as before). At fault: replicas.go, sendCalls and load: a call with a connection was taken for one that can be written.

Change: load leaves a call on a connection that is not up; rise, in the turn in which it is told that it is up, writes those that are still on it. The contracts' guard is asked then too, where bytes leave.

--- /dev/null
+++ b/coordinator/replica_moments_test.go
@@ -0,0 +1,114 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// gates hold back connections: each that is opened waits until its address is let through.
+type gates struct {
+	mu   sync.Mutex
+	open map[string]chan struct{}
+}
+
+func (g *gates) at(addr string) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open[addr] == nil {
+		g.open[addr] = make(chan struct{})
+	}
+	return g.open[addr]
+}
+
+// startGated starts one whose connections to the replicas of cell 0 wait at their gates.
+func startGated(t *testing.T, edit func(settings map[string]any)) (r *rig, let func(id string)) {
+	g, gated := &gates{open: map[string]chan struct{}{}}, make(chan map[string]bool, 1)
+	r = startIn(t, nil, 256, func(settings map[string]any) {
+		settings["Permissions"].(map[string]any)["DialTimeout"] = float64(patience / time.Millisecond)
+		if edit != nil {
+			edit(settings)
+		}
+	}, nil, nil, func(m *Means) {
+		own := m.Dial
+		m.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			waits := <-gated
+			gated <- waits
+			if waits[addr] {
+				select {
+				case <-g.at(addr):
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			}
+			return own(ctx, network, addr)
+		}
+	})
+	waits := map[string]bool{}
+	for _, id := range []string{"a0", "a1"} {
+		waits[r.replicas[id].Ln.Addr().String()] = true
+	}
+	gated <- waits
+	return r, func(id string) { close(g.at(r.replicas[id].Ln.Addr().String())) }
+}
+
+// inTurn does something in a turn of the owner's and waits for it.
+func (r *rig) inTurn(do func(o *owner)) {
+	done := make(chan struct{})
+	require.True(r.t, r.owner.post(func() { do(r.owner); close(done) }))
+	<-done
+}
+
+// waiting tells how many parts are out, as the owner sees it, on connections to a replica that are not up.
+func (r *rig) waiting(id string) (n int) {
+	r.inTurn(func(o *owner) {
+		if to := o.fleet[id]; to != nil {
+			for _, l := range to.lines {
+				if l.up == 0 {
+					n += len(l.subs)
+				}
+			}
+		}
+	})
+	return n
+}
+
+// up tells whether a connection to a replica is.
+func (r *rig) up(id string) (is bool) {
+	r.inTurn(func(o *owner) {
+		for _, l := range o.fleet[id].lines {
+			is = is || l.up > 0
+		}
+	})
+	return is
+}
+
+// A part that waits for a connection that comes up late tells its replica what is left to the client then.
+func TestTimeToldOnALateConnection(t *testing.T) {
+	const late = 300 * time.Millisecond
+	r, let := startGated(t, nil)
+	c := r.call().send(request("q", "all", "", fourParts))
+	r.eventually("parts wait", func() bool { return r.waiting("a0")+r.waiting("a1") >= 2 })
+	time.Sleep(late)
+	let("a0")
+	let("a1")
+	status, _, text, _ := c.answer()
+	require.Equal(t, 200, status)
+	require.JSONEq(t, wholeOfAll, text)
+	for _, id := range []string{"a0", "a1"} {
+		parts, _, _, _ := r.replicas[id].Seen()
+		for _, p := range parts {
+			told, err := strconv.Atoi(strings.TrimPrefix(p.List, "d="))
+			require.NoError(t, err)
+			require.LessOrEqual(t, told, 8000-int(late/time.Millisecond)+1, "%s of a client that gave 8 s", p.List)
+			require.Positive(t, told)
+		}
+	}
+	r.end()
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -219,16 +219,25 @@
 	o.order = o.order[:0]
 }
 
-// load writes the frame of a call that has a connection.
+// load writes the frame of a call that has a connection. While that is not up the call waits for rise. Guards against a
+// frame that was written as the connection was opened: it would tell the time that was left to the client then.
 func (o *owner) load(c *call) {
-	fenced := c.line != nil && o.zones != nil && o.zones.guard(c)
-	if c.line == nil || len(c.subs) == 0 {
+	if c.line == nil {
+		return
+	}
+	if c.line.up == 0 {
+		c.parcel = &c.own
+		c.parcel.stage.Store(queued) // it may have been taken back, and stands in no backlog
+		return
+	}
+	fenced := o.zones != nil && o.zones.guard(c)
+	if len(c.subs) == 0 {
 		return
 	}
 	b := lend()
 	*b = c.line.speaks.call(o, *b, c)
 	p := &c.own
-	if c.parcel != nil { // that one was taken back, and may still stand in the backlog
+	if p.b != nil { // that one was taken back, and may still stand in the backlog
 		p = &parcel{}
 	}
 	p.b, p.fenced, c.parcel = b, fenced, p
@@ -342,7 +351,7 @@
 	return nil
 }
 
-// dial opens a connection; what is put on it waits until it is up.
+// dial opens a connection; calls on it wait until it is up.
 func (o *owner) dial(r *replica) *line {
 	l := &line{link: newLink(o.ctx, replicaRoom), r: r, speaks: r.speaks, usedAt: o.now}
 	r.lines = append(r.lines, l)
@@ -360,7 +369,7 @@
 			end = starved
 		}
 		if err == nil {
-			o.post(func() { l.up = o.now })
+			o.post(func() { o.rise(l) })
 			end = l.serve(conn, wait, func(context.Context) error { return l.speaks.hear(o, l, conn) },
 				func(*parcel) error { return nil })
 		}
@@ -371,6 +380,16 @@
 	return l
 }
 
+// rise writes what has waited for a connection to be up.
+func (o *owner) rise(l *line) {
+	l.up = o.now
+	for _, sub := range slices.Clone(l.subs) {
+		if c := sub.call; c != nil && c.parcel.b == nil { // the first of a call's has written it
+			o.load(c)
+		}
+	}
+}
+
 // connect opens a connection, and tries a second time beside the first if that is not up after dialAgain. Guards against
 // connections that come up late or never at a replica that is sound: what waits for one would be late with it. Harm: a
 // replica that is silent is asked for two connections in place of one, and for DialTimeout one more descriptor is used.
