Frames that wait for a connection are taken back from replicas that drain or go

Cause: a part that was sent before its replica was told as draining, gone or moved stays on a connection that is not up yet, for up to DialTimeout, and goes out when that comes up: after the time in which such a replica may still get new work (the time of a send counts from its first byte).

Seen: TestNothingWaitsForAReplicaThatLeaves holds a connection back, tells the list, and lets it through. As it stands the code before keeps the part until the client's time is over (500). Ruled out: taking back at once. TestListsAreNeverMixed then failed with 503: with a list a millisecond, each took an attempt of every part; most connections come up in time. At fault: replicas.go, place: it retires connections and leaves what waits on them; of draining it heard nothing.

Change: half the stated grace after the list was told, what waits on connections to such a replica and was not begun is taken back, and the module hears that it was never sent. A call whose replica goes in the very turn in which it was chosen is not sent to an empty address any more (that was told as a failed connect). The change names draining at place's callers in discovery.go and membership.go, and graceShare in start.go.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -45,8 +45,7 @@
 			Zone: word(m["zone"]), Kind: hostKind, Cell: int(cell), State: memberStates[status], Weight: cmp.Or(units, 1),
 			StartedMS: int64(since)}})
 		steps = append(steps, func() {
-			o.wants(id, status == "healthy")
-			o.place(id, addr, hostKind, gone)
+			o.place(id, addr, hostKind, gone, status == "cordoned")
 			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
 		})
 	}
@@ -61,8 +60,7 @@
 	if how != "Partial" {
 		for id := range o.fleet {
 			if !present[id] {
-				o.wants(id, false)
-				o.place(id, "", "", true)
+				o.place(id, "", "", true, false)
 			}
 		}
 	}
@@ -76,44 +74,6 @@
 	o.log.Info("list", "how", how, "version", version, "entries", len(hosts))
 }
 
-// wants notes whether a replica is to get anything new. Of what was sent to one that drains or is gone, and of which no
-// byte is begun after half of the grace, the call is taken back. Guards against a connection that comes up late: what
-// waits for it would go out after the grace. Harm: a part that may not be sent again is missing, though the replica might
-// have taken it.
-func (o *owner) wants(id string, more bool) {
-	r := o.fleet[id]
-	w, leaves := o.leaving[r]
-	switch {
-	case r == nil || leaves != more:
-	case more:
-		o.unwake(w)
-		delete(o.leaving, r)
-	default:
-		w = &wake{}
-		o.leaving[r] = w
-		o.await(w, int64(o.plan.span("Safety.DrainGrace")/tenth)/2, doing(func() {
-			delete(o.leaving, r)
-			o.callBack(r)
-		}))
-	}
-}
-
-// callBack takes all calls to a replica back of which no byte is begun.
-func (o *owner) callBack(r *replica) {
-	for _, l := range slices.Clone(r.lines) {
-		for _, sub := range slices.Clone(l.subs) {
-			c := sub.call
-			if c == nil || !c.parcel.recall() {
-				continue
-			}
-			for _, sub := range slices.Clone(c.subs) {
-				o.leave(sub)
-				o.laterLanded(sub, "Ignored")
-			}
-		}
-	}
-}
-
 // tellListed tells a list or changes of it to those that keep what they need of it beside the owner.
 func (o *owner) tellListed(full bool, version int64, hosts []listedHost) {
 	if o.peers != nil {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -130,8 +130,7 @@
 			status = "cordoned"
 		}
 		steps = append(steps, func() {
-			o.wants(e.ID, status == "healthy")
-			o.place(e.ID, e.Addr, e.Kind, false)
+			o.place(e.ID, e.Addr, e.Kind, false, e.State == members.Draining)
 			o.module.Entry(e.ID, zone, kind, e.Cell, status, e.Weight, e.StartedMS*10)
 		})
 	}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -56,12 +56,11 @@
 	names     map[string]bool // of the searches
 	parts     map[uint64]*part
 	fleet     map[string]*replica
-	leaving   map[*replica]*wake // that drain or are gone, until what is not begun there is called back
-	order     []*replica         // with calls to go out at the end of the turn
-	sockets   int                // descriptors that the plan grants
-	lines     int                // connections to replicas
-	sentAt    int64              // the last turn with calls
-	usual     float64            // tenths of a millisecond that an answer takes, of late
+	order     []*replica // with calls to go out at the end of the turn
+	sockets   int        // descriptors that the plan grants
+	lines     int        // connections to replicas
+	sentAt    int64      // the last turn with calls
+	usual     float64    // tenths of a millisecond that an answer takes, of late
 	listed    bool
 	clients   map[*link]bool
 	ending    bool // no new client connections come
--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -112,3 +113,49 @@
 	}
 	r.end()
 }
+
+// A part that waits for a connection to a replica that begins to drain, is gone or has moved meanwhile goes elsewhere in
+// time, and nothing is sent there once the connection is up.
+func TestNothingWaitsForAReplicaThatLeaves(t *testing.T) {
+	for name, list := range map[string]func(r *rig, id, other string) string{
+		"drains": func(r *rig, id, _ string) string {
+			return fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry(id, "draining"))
+		},
+		"removed": func(r *rig, id, _ string) string {
+			return fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry(id, "removed"))
+		},
+		"left out": func(r *rig, _, other string) string {
+			return fmt.Sprintf(`{"version":8,"full":true,"servers":[%s,%s]}`, r.entry(other, "up"), r.entry("b0", "up"))
+		},
+		"moved": func(r *rig, id, other string) string {
+			addr := func(id string) string { return r.replicas[id].Ln.Addr().String() }
+			return fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`,
+				strings.Replace(r.entry(id, "up"), addr(id), addr(other), 1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, let := startGated(t, func(settings map[string]any) { // no other way off a connection than what is tested
+				settings["Permissions"].(map[string]any)["SecondCopies"] = false
+				settings["Permissions"].(map[string]any)["Cancelling"] = false
+				settings["Classes"].([]any)[1].(map[string]any)["Effect"] = "fragile"
+			})
+			c := r.call().send(request("q", "all", "", fourParts))
+			r.eventually("parts wait", func() bool { return r.waiting("a0")+r.waiting("a1") == 2 })
+			id, other := "a0", "a1"
+			if r.waiting(id) == 0 {
+				id, other = other, id
+			}
+			let(other)
+			r.list.Answers <- list(r, id, other)
+			r.eventually("they are taken back", func() bool { return r.waiting(id) == 0 })
+			let(id)
+			status, _, text, _ := c.answer()
+			require.Equal(t, 200, status)
+			require.JSONEq(t, wholeOfAll, text)
+			parts, _, _, _ := r.replicas[id].Seen()
+			require.Empty(t, parts)
+			r.end()
+		})
+	}
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -13,6 +13,7 @@
 	id, addr string
 	speaks   tongue
 	gone     bool
+	closed   bool // drains or is gone
 	lines    []*line
 	calls    []*call // of this turn, not yet on a line
 }
@@ -148,6 +149,37 @@
 	return true
 }
 
+// unsend takes all of a call back at once, if no byte of it has been begun; the module hears that they were never sent.
+func (o *owner) unsend(c *call) {
+	if !c.parcel.recall() {
+		return
+	}
+	for len(c.subs) > 0 {
+		sub := c.subs[0]
+		o.leave(sub)
+		o.laterLanded(sub, "Ignored")
+	}
+}
+
+// close has nothing new go out to a replica that drains, is gone or has moved, once the time is over in which that is
+// allowed. Guards against frames that still wait for a connection then. They wait on until then, since most come up in
+// time: to take them back at once would cost each an attempt.
+func (o *owner) close(r *replica) {
+	grace := float64(o.plan.span("Safety.DrainGrace") / tenth)
+	o.after(int64(graceShare*grace), func() {
+		for _, l := range slices.Clone(r.lines) {
+			if !r.closed && !l.shut {
+				continue
+			}
+			for _, sub := range slices.Clone(l.subs) {
+				if sub.call != nil {
+					o.unsend(sub.call)
+				}
+			}
+		}
+	})
+}
+
 // leave takes a sub-request off its call and connection.
 func (o *owner) leave(sub *subRequest) {
 	c := sub.call
@@ -200,7 +232,10 @@
 			if len(c.subs) == 0 {
 				continue
 			}
-			l := o.lineFor(r, c)
+			var l *line
+			if !r.gone { // since it was chosen in this turn
+				l = o.lineFor(r, c)
+			}
 			if l == nil {
 				for _, sub := range slices.Clone(c.subs) {
 					o.leave(sub)
@@ -215,6 +250,7 @@
 		}
 		clear(r.calls)
 		r.calls = r.calls[:0]
+		o.forget(r)
 	}
 	o.order = o.order[:0]
 }
@@ -556,7 +592,7 @@
 }
 
 // place notes where a replica is; old connections to another address take nothing new.
-func (o *owner) place(id, addr, kind string, gone bool) {
+func (o *owner) place(id, addr, kind string, gone, drains bool) {
 	r := o.fleet[id]
 	if r == nil {
 		if gone {
@@ -566,12 +602,16 @@
 		o.fleet[id] = r
 	}
 	speaks := o.tongueOf(kind)
-	if gone || r.addr != addr || r.speaks != speaks {
+	moved := r.addr != addr || r.speaks != speaks
+	if gone || moved {
 		for _, l := range slices.Clone(r.lines) {
 			o.retire(l)
 		}
 	}
-	r.addr, r.gone = addr, gone
+	if closed := gone || drains; closed && !r.closed || moved && len(r.lines) > 0 {
+		o.close(r)
+	}
+	r.addr, r.gone, r.closed = addr, gone, gone || drains
 	if !gone {
 		r.speaks = speaks
 	}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -42,6 +42,7 @@
 	headTime     = 2500 * time.Millisecond // for a request to come, the first from connecting: under 3 s are owed
 	quietTime    = 3 * time.Second         // a client connection at rest is closed: usual clients ask several a second
 	clientStall  = 5 * time.Second         // a client that takes no byte of its answer so long has left
+	graceShare   = 0.5                     // of the time in which a draining replica may get new frames: lists are late
 	idleShare    = 0.7                     // of the time at which replicas close what is idle: ends that race
 	takeOn       = 500 * time.Millisecond  // requests still come after a stop: the platform's 0.4 s and a little
 	acceptPause  = 100 * time.Millisecond  // before accepting again with no descriptor left: some will be free
@@ -422,7 +423,7 @@
 	defer stop()
 	o := &owner{plan: p, Means: m, log: newNotes(m.Clock, m.Log.Handler()), g: g, ctx: work, queue: make(chan func(), queueRoom),
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*moduleWake{},
-		fleet: map[string]*replica{}, leaving: map[*replica]*wake{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
+		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
 		blocks: p.Blocks(), streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
 		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{},
 		room: max(roomLeast, roomShare*float64(p.MemoryMB)*(1<<20))}
