A keyed part that has not run yet may go out on any connection

Cause: a repeat of a keyed part travels only on a connection that has stood since the part first went out. As 'first out' counted the first sub-request, also one whose connection was never up, that was refused ('later') or taken back unsent: the next one found no such connection at a replica not connected to before, and the part was lost, though it had not run.

Seen: TestKeyedPartThatNeverRanIsNoRepeat refuses the first connect to a cell; the search is answered 503 without the change, its other holder never tried, and 200 with it. TestFirstSentOfKeyedParts goes through the ends of earlier sub-requests, and through the stages of a frame that is given up. Ruled out: the module (mayRepeat lets such a part go out again, also beyond the window); ends after which a part may have run (reset, bad, timed out, called off once begun) still bind it; TestNoSecondEffect passes under -race. At fault: replicas.go, firstSent.

Change: a sub-request notes that it has not run, and firstSent looks for the first that may have.

--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"chalkring/logic"
 )
 
 // gates hold back connections: each that is opened waits until its address is let through.
@@ -159,3 +163,68 @@
 		})
 	}
 }
+
+// A keyed part whose first sub-requests have not run goes out on whatever connection there is, a new one too; it is no
+// repeat. Those that may have run bind it to one that has stood since, as ever.
+func TestKeyedPartThatNeverRanIsNoRepeat(t *testing.T) {
+	var hosts sync.Map // address: of cell 0
+	var dials atomic.Int32
+	r := startIn(t, nil, 256, func(settings map[string]any) {
+		class := settings["Classes"].([]any)[1].(map[string]any)
+		class["Effect"], class["RepeatWindow"] = "dedup", 4000.0
+		settings["Permissions"].(map[string]any)["SecondCopies"] = false
+	}, nil, nil, func(m *Means) {
+		own := m.Dial
+		m.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if _, of := hosts.Load(addr); of && dials.Add(1) == 1 {
+				return nil, errors.New("refused")
+			}
+			return own(ctx, network, addr)
+		}
+	})
+	for _, id := range []string{"a0", "a1"} {
+		hosts.Store(r.replicas[id].Ln.Addr().String(), true)
+	}
+	c := r.call()
+	c.send(request("q", "all", "", `{"ranges":[{"range":0,"portion":1}],"predicate":"what"}`))
+	status, _, text, _ := c.answer()
+	require.Equal(t, 200, status, "%s", r.log)
+	require.JSONEq(t, `{"total":true,"answers":[{"range":0,"blob":"what@0"}]}`, text)
+	require.EqualValues(t, 2, dials.Load())
+	r.end()
+}
+
+// What is known of earlier sub-requests tells which of a keyed part's are repeats.
+func TestFirstSentOfKeyedParts(t *testing.T) {
+	for _, x := range []struct {
+		outcomes string
+		first    int64
+	}{
+		{"Ignored", 0}, {"ConnectError", 0}, {"QueueFull", 0}, {"ConnectError Ignored", 0},
+		{"ResetByPeer", 1}, {"TimedOut", 1}, {"Canceled", 1}, {"Failed", 1},
+		{"ConnectError ResetByPeer", 2}, {"ResetByPeer ConnectError", 1}, {"QueueFull Failed Canceled", 2},
+	} {
+		o := &owner{keyed: []bool{true, false}, module: deaf{}, parts: map[uint64]*part{}}
+		p := &part{s: &search{}}
+		for i, outcome := range strings.Fields(x.outcomes) {
+			sub := &subRequest{p: p, leg: int32(i), sent: int64(i + 1)}
+			p.subs = append(p.subs, sub)
+			require.Equal(t, int64(0), o.firstSent(&subRequest{p: &part{s: &search{qtype: 1}, subs: p.subs}, leg: 1}))
+			o.landed(sub, outcome, nil)
+		}
+		require.Equal(t, x.first, o.firstSent(&subRequest{p: p, leg: int32(len(p.subs))}), x.outcomes)
+	}
+	for stage, first := range map[int32]int64{queued: 0, begun: 7, written: 7} { // one that was given up
+		o, _, s := oneOut(stage)
+		o.keyed = []bool{true}
+		p := s.parts[0]
+		p.subs[0].sent = 7
+		o.Cancel(p.id, 0)
+		require.Equal(t, first, o.firstSent(&subRequest{p: p, leg: 1}), "stage %d", stage)
+	}
+}
+
+// deaf is a module that does nothing on hearing of an end.
+type deaf struct{ logic.Coordinator }
+
+func (deaf) Outcome(uint64, int, string, int64, bool, map[string]float64) {}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -46,15 +46,16 @@
 
 // subRequest is one sub-request that is out.
 type subRequest struct {
-	p    *part
-	leg  int
-	r    *replica
-	name string // its id on the wire
-	sent int64
-	due  int64
-	call *call
-	wake wake // its time-out
-	own  call // room for call
+	p     *part
+	leg   int32
+	never bool // it has not run: it was never out whole, or was refused
+	r     *replica
+	name  string // its id on the wire
+	sent  int64
+	due   int64
+	call  *call
+	wake  wake // its time-out
+	own   call // room for call
 }
 
 // awake is its time-out.
@@ -77,12 +78,12 @@
 	} else {
 		p.subs = p.one[:0]
 	}
-	sub.p, sub.leg, sub.r, sub.name, sub.sent, sub.due = p, len(p.subs), r, p.name, o.now, o.now+timeout
+	sub.p, sub.leg, sub.r, sub.name, sub.sent, sub.due = p, int32(len(p.subs)), r, p.name, o.now, o.now+timeout
 	p.subs = append(p.subs, sub)
 	p.untold++
 	early := ""
 	switch {
-	case sub.leg >= o.maxAttempts || p.over():
+	case int(sub.leg) >= o.maxAttempts || p.over():
 		early = "Ignored"
 	case timeout <= 0:
 		early = "TimedOut"
@@ -122,7 +123,9 @@
 		return
 	}
 	l := sub.call.line
-	if c := sub.call; !o.takeBack(sub) {
+	if c := sub.call; o.takeBack(sub) {
+		sub.never = true
+	} else {
 		o.leave(sub)
 		l.speaks.cancel(l, sub)
 		// Nothing is sent after the final answer: a frame given up before it may still be on its way out.
@@ -218,7 +221,8 @@
 // landed tells the module how a sub-request ended.
 func (o *owner) landed(sub *subRequest, outcome string, report map[string]float64) {
 	sub.p.untold--
-	o.module.Outcome(sub.p.id, sub.leg, outcome, o.now-sub.sent, sub.p.over(), report)
+	sub.never = sub.never || outcome == "Ignored" || outcome == "ConnectError" || outcome == "QueueFull"
+	o.module.Outcome(sub.p.id, int(sub.leg), outcome, o.now-sub.sent, sub.p.over(), report)
 	o.drop(sub.p)
 }
 
@@ -329,11 +333,16 @@
 	return fullest
 }
 
-// firstSent is when a keyed part first went out, of its repeat; 0 of any other sub-request. It is not kept in the call:
-// eight bytes more there are 385 a search.
+// firstSent is when a keyed part first went out, of its repeat; 0 of any other sub-request, and where none before it can
+// have run: that is no repeat. It is not kept in the call: eight bytes more there are 385 a search.
 func (o *owner) firstSent(sub *subRequest) int64 {
-	if sub.leg > 0 && o.keyed[sub.p.s.qtype] {
-		return sub.p.subs[0].sent
+	if sub.leg == 0 || !o.keyed[sub.p.s.qtype] {
+		return 0
+	}
+	for _, before := range sub.p.subs[:sub.leg] {
+		if !before.never {
+			return before.sent
+		}
 	}
 	return 0
 }
