A search that ends takes its parts off a call in one piece

Cause: a search that is answered or withdrawn took its sub-requests back one by one. After each the call's frame was written anew with the rest and handed to the writer; before the next was taken back, that frame could be begun: parts of a search that is over went out, and the final answer waited for them.

Seen: TestPartsOfOneCallGoBackTogether ends a search with two parts in a call that waits; without the change a frame with the second is left in the backlog. At fault: owner.go, finish, which called takeBack for each.

Change: unsend takes all of a search's off a call before the rest, those of other searches, is written anew.

--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -490,10 +490,10 @@
 				continue
 			}
 			// Nothing is sent after the final answer: what is begun has to be out before that is.
-			if l := sub.call.line; o.takeBack(sub) {
-				o.laterLanded(sub, "Ignored")
-			} else if b := (behind{l.link, sub.call.parcel}); !b.out() {
-				first = append(first, b)
+			if c := sub.call; !o.unsend(c, s) {
+				if b := (behind{c.line.link, c.parcel}); !b.out() {
+					first = append(first, b)
+				}
 			}
 		}
 		o.drop(p)
--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"strconv"
 	"strings"
@@ -224,7 +225,54 @@
 	}
 }
 
-// deaf is a module that does nothing on hearing of an end.
-type deaf struct{ logic.Coordinator }
+// deaf is a module that does nothing on hearing of an end; told, where it is not nil, keeps it.
+type deaf struct {
+	logic.Coordinator
+	told *[]string
+}
 
-func (deaf) Outcome(uint64, int, string, int64, bool, map[string]float64) {}
+func (d deaf) Outcome(_ uint64, _ int, ending string, _ int64, _ bool, _ map[string]float64) {
+	if d.told != nil {
+		*d.told = append(*d.told, ending)
+	}
+}
+
+// twoOut is a search with two parts out on a connection that is up and has no writer: in one call, or in two of which the
+// second alone is written.
+func twoOut(apart bool) (*owner, *line, *search) {
+	o, l, s := oneOut(queued)
+	l.up, o.log = 1, newNotes(SystemClock{}, slog.DiscardHandler)
+	p := &part{id: 3, s: s, shard: 1, untold: 1}
+	c := s.parts[0].subs[0].call
+	if apart {
+		c = &call{line: l, parcel: &parcel{}}
+		c.parcel.stage.Store(written)
+		l.calls++
+	}
+	sub := &subRequest{p: p, name: "q.1", call: c}
+	c.subs, l.subs, p.subs, s.parts = append(c.subs, sub), append(l.subs, sub), []*subRequest{sub}, append(s.parts, p)
+	o.parts[3] = p
+	return o, l, s
+}
+
+// A search that ends takes its parts off a call in one piece: no frame with the rest of them is on its way in between.
+func TestPartsOfOneCallGoBackTogether(t *testing.T) {
+	o, l, s := twoOut(false)
+	require.Empty(t, o.finish(s))
+	require.Empty(t, l.backlog)
+	require.Empty(t, l.subs)
+	require.Equal(t, []string{"Ignored", "Ignored"}, []string{o.next[0].outcome, o.next[1].outcome})
+	require.Zero(t, l.calls)
+
+	o, l, s = twoOut(false) // those of another search stay
+	other := &search{id: 9}
+	s.parts[1].s, s.parts = other, s.parts[:1]
+	require.Empty(t, o.finish(s))
+	require.Len(t, o.next, 1)
+	require.Len(t, l.backlog, 1)
+	require.Equal(t, "q.1", l.subs[0].name)
+	p := <-l.backlog
+	require.Equal(t, queued, p.stage.Load())
+	require.NotContains(t, string(*p.b), "q.0")
+	require.Contains(t, string(*p.b), "q.1")
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -152,16 +152,23 @@
 	return true
 }
 
-// unsend takes all of a call back at once, if no byte of it has been begun; the module hears that they were never sent.
-func (o *owner) unsend(c *call) {
-	if !c.parcel.recall() {
-		return
+// unsend takes a search's sub-requests off a call, all sub-requests with no search, if no byte of it has been begun; the
+// module hears that they were never sent. They go at once: one by one, the frame of the rest could go out in between.
+func (o *owner) unsend(c *call, of *search) bool {
+	if c.line != nil && !c.parcel.recall() {
+		return false
 	}
-	for len(c.subs) > 0 {
-		sub := c.subs[0]
+	for i := 0; i < len(c.subs); {
+		sub := c.subs[i]
+		if of != nil && sub.p.s != of {
+			i++
+			continue
+		}
 		o.leave(sub)
 		o.laterLanded(sub, "Ignored")
 	}
+	o.load(c)
+	return true
 }
 
 // close has nothing new go out to a replica that drains, is gone or has moved, once the time is over in which that is
@@ -176,7 +183,7 @@
 			}
 			for _, sub := range slices.Clone(l.subs) {
 				if sub.call != nil {
-					o.unsend(sub.call)
+					o.unsend(sub.call, nil)
 				}
 			}
 		}
