A part called off before its frame was begun is told as never sent

Cause: what the module calls off was told as Canceled also where its frame was taken back unbegun, on a connection that is not up, say. Canceled means that it may have run: the module does not send a part of a class without repeats again after it, and a keyed one only within its window, though neither has run.

Seen: TestCalledOffUnsent; without the change a frame that is queued is told as Canceled. Left as it is: one whose time is over unsent is told as TimedOut, from which the module learns how slow its replica is. At fault: replicas.go, giveUp.

Change: Ignored for those that were taken back, as for those that a search's end takes back.

--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -276,3 +276,12 @@
 	require.NotContains(t, string(*p.b), "q.0")
 	require.Contains(t, string(*p.b), "q.1")
 }
+
+// What is called off before it was begun was never sent, and the module hears so: it may go out again whatever its effect.
+func TestCalledOffUnsent(t *testing.T) {
+	for stage, outcome := range map[int32]string{queued: "Ignored", begun: "Canceled", written: "Canceled"} {
+		o, _, _ := oneOut(stage)
+		o.Cancel(2, 0)
+		require.Equal(t, outcome, o.next[0].outcome, "stage %d", stage)
+	}
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -124,7 +124,9 @@
 	}
 	l := sub.call.line
 	if c := sub.call; o.takeBack(sub) {
-		sub.never = true
+		if sub.never = true; outcome == "Canceled" {
+			outcome = "Ignored" // what was called off may have run, but this was never sent
+		}
 	} else {
 		o.leave(sub)
 		l.speaks.cancel(l, sub)
