A repeat that waits where the first is answered late does not go out

Cause: an answer finds its part by its id on the connection. Where a repeat waits on the connection that bore the first sub-request, a late answer to that ends the repeat; its frame stayed in the backlog and was written all the same, after the part had its value, and after the final answer if that value was the last.

Seen: TestAnswerUnderAWaitingRepeat; without the change the frame's parcel stays queued. At fault: replicas.go, answer: leave without takeBack.

Change: answer takes the frame back where it was not begun.

--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -285,3 +285,19 @@
 		require.Equal(t, outcome, o.next[0].outcome, "stage %d", stage)
 	}
 }
+
+// A repeat that waits on the connection on which the first sub-request is answered late does not go out.
+func TestAnswerUnderAWaitingRepeat(t *testing.T) {
+	for stage, left := range map[int32]int32{queued: called, begun: begun, written: written} {
+		var told []string
+		o, l, s := oneOut(stage)
+		o.module = deaf{told: &told}
+		l.past = map[string]uint64{"q.0": s.id}
+		parcel := s.parts[0].subs[0].call.parcel
+		o.answer(l, []byte("q.0"), "Ok", zero, nil, []byte("v"), nil)
+		require.Equal(t, []string{"Ok"}, told)
+		require.True(t, s.parts[0].in)
+		require.Equal(t, left, parcel.stage.Load())
+		require.Empty(t, l.subs)
+	}
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -521,7 +521,9 @@
 		}
 		return
 	}
-	o.leave(sub)
+	if !o.takeBack(sub) { // guards against a repeat on this connection that goes out though the first was answered
+		o.leave(sub)
+	}
 	o.usual += (float64(o.now-sub.sent) - o.usual) / usualCount
 	o.hush(l, sub.sent)
 	if p := sub.p; outcome == "Ok" && !p.over() {
