A spoilt connection fails the first part written, whatever waits before it

Cause: whoever spoils an answer has failed one part, the first that was written (docs/architecture.md); the code took the first on the connection. A part whose frame was written anew waits behind later ones but stands before them: then nobody was failed, and the replica got no strike for what it spoilt.

Seen: TestSpoiltUnderAWaitingPart; without the change Ignored and Canceled are told, with it Ignored and Failed. At fault: replicas.go, ended: i == 0.

Change: the first of those that were written.

--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -301,3 +301,12 @@
 		require.Empty(t, l.subs)
 	}
 }
+
+// Who spoils a connection has failed one of the parts that were out there, whatever waits before it.
+func TestSpoiltUnderAWaitingPart(t *testing.T) {
+	var told []string
+	o, l, _ := twoOut(true)
+	o.module = deaf{told: &told}
+	o.ended(l, garbled, "x")
+	require.Equal(t, []string{"Ignored", "Failed"}, told)
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -562,8 +562,11 @@
 	// All are taken off before the first is told. Guards against what the module does on hearing of one: it may
 	// call off others that were on this connection, whose end has come too.
 	var tell []func()
-	for i, sub := range slices.Clone(l.subs) {
-		outcome := end.outcome(sub.call.parcel.stage.Load() == written, i == 0, l.heard > 0)
+	first := true // of those that were written
+	for _, sub := range slices.Clone(l.subs) {
+		out := sub.call.parcel.stage.Load() == written
+		outcome := end.outcome(out, first, l.heard > 0)
+		first = first && !out
 		o.leave(sub)
 		tell = append(tell, func() { o.landed(sub, outcome, nil) })
 	}
