The writer begins no message once the reader has seen the connection's end

Cause: the reader's end cancels the connection's context, and the socket is closed by a goroutine that this starts. A writer that was busy then finds both that and its backlog ready; a select takes either by chance, and the socket may still take a frame that nobody will read. That frame counts as written: its part is told as reset (may have run) in place of never sent, which loses a part of a class without repeats.

Ruled out: a frame that crosses the other side's close on its way; nothing here can know of that. At fault: connections.go, serve: the writer's loop.

Change: what was taken off the backlog is begun only while the context stands.

--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -189,6 +189,9 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			case p := <-l.backlog:
+				if ctx.Err() != nil { // guards against a message that is begun after the reader has seen the end
+					return ctx.Err()
+				}
 				conn.SetWriteDeadline(time.Now().Add(stall))
 				if err := l.write(conn, p, &together, wrote); err != nil {
 					return err
