Second connects beside late ones are bounded by their part of the descriptors

Cause: a connect that is not up after 0.1 s gets a second one beside it, which no share of the descriptors counted. With all replicas silent, connections take up to 0.35 of the descriptors and second ones as much again, beside 0.55 for clients.

Seen: TestSecondConnectsAreBounded has 64 descriptors and no connect come up; 46 are tried at once without the change, where 0.35 of 64 and 0.05 of 64 allow 27; with it, no more. Ruled out: the loser of two, which is called off and closed as the other is up (TestConnect), and a stop with connects that are tried (no goroutine is left, and beside is 0). At fault: replicas.go, connect.

Change: second connects that are tried at one time keep to besideShare, 0.05 of the descriptors, one at least. Harm: where more connections than that are late at once, the rest waits for its first connect.

--- a/coordinator/replica_moments_test.go
+++ b/coordinator/replica_moments_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -33,6 +34,33 @@
 	return g.open[addr]
 }
 
+// The second connects beside late ones keep to their part of the descriptors, however many are late at once.
+func TestSecondConnectsAreBounded(t *testing.T) {
+	const sockets = 64
+	var tried atomic.Int64 // now
+	r := startIn(t, nil, sockets, func(settings map[string]any) {
+		may := settings["Permissions"].(map[string]any)
+		may["DialTimeout"], may["StreamsPerConn"] = float64(patience/time.Millisecond), 1
+		settings["Specifics"].(map[string]any)["PerCall"] = 1
+	}, nil, nil, func(m *Means) {
+		m.Dial = func(ctx context.Context, _, addr string) (net.Conn, error) {
+			tried.Add(1)
+			defer tried.Add(-1)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	})
+	for i := range 12 {
+		r.call().send(request(fmt.Sprint("q", i), "all", "", fourParts))
+	}
+	lines := func() (n int) { r.inTurn(func(o *owner) { n = o.lines }); return n }
+	r.eventually("connections are late", func() bool { return float64(lines()) >= replicaShare*sockets })
+	r.eventually("second ones are tried", func() bool { return r.owner.beside.Load() >= int64(lines()) })
+	require.LessOrEqual(t, tried.Load(), int64(math.Ceil(replicaShare*sockets+besideShare*sockets))+1) // one is discovery's
+	r.end()
+	require.Zero(t, r.owner.beside.Load())
+}
+
 // startGated starts one whose connections to the replicas of cell 0 wait at their gates.
 func startGated(t *testing.T, edit func(settings map[string]any)) (r *rig, let func(id string)) {
 	g, gated := &gates{open: map[string]chan struct{}{}}, make(chan map[string]bool, 1)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -446,7 +446,8 @@
 
 // connect opens a connection, and tries a second time beside the first if that is not up after dialAgain. Guards against
 // connections that come up late or never at a replica that is sound: what waits for one would be late with it. Harm: a
-// replica that is silent is asked for two connections in place of one, and for DialTimeout one more descriptor is used.
+// replica that is silent is asked for two connections in place of one, and for DialTimeout one more descriptor is used; of
+// many that are silent, besideShare is.
 func (o *owner) connect(ctx context.Context, addr string) (net.Conn, error) {
 	type ended struct {
 		conn net.Conn
@@ -468,8 +469,10 @@
 	for {
 		select {
 		case <-again:
-			again = nil
-			dial()
+			if again = nil; o.beside.Add(1) <= max(1, int64(besideShare*float64(o.sockets))) {
+				dial()
+			}
+			defer o.beside.Add(-1)
 		case t := <-tries:
 			out--
 			if t.err != nil && out > 0 {
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -38,6 +38,7 @@
 	replicaRoom  = 512                     // frames waiting on a replica's: calls of 32 streams with their cancels
 	clientShare  = 0.55                    // of the descriptors go to clients; a search rests on several replicas,
 	replicaShare = 0.35                    // yet parts share connections; the rest is for list, log, runtime
+	besideShare  = 0.05                    // of them, of that rest, go to second connects beside late ones
 	memoryShare  = 0.75                    // of the memory limit is the runtime's goal: the rest is stacks, kernel
 	headTime     = 2500 * time.Millisecond // for a request to come, the first from connecting: under 3 s are owed
 	quietTime    = 3 * time.Second         // a client connection at rest is closed: usual clients ask several a second
