As the co-ordinator stops, a client that sent ahead and leaves is seen at once

Seen: after SIGTERM a client whose next request had come behind its open one closed its connection; the open search was not given up until its time was over, so further sub-requests could begin seconds later, and what lay behind was sent on after that, for nobody. Lines at fault: clients.go, inTurn. Ruled out: a client that leaves with nothing behind its request (its reader waits for the next), one that sends ahead before SIGTERM (its search is withdrawn at once). With the buffer full it waits as before. Also, found in reading: a reader that took the limit off for an answer could do so just after that answer had set its own, and the connection then had none: at rest, or lingering after its last answer, it stayed until its client closed it. It looks once more after taking it off.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -74,6 +74,7 @@
 	*link
 	place    *list.Element // in the gate's list, while at rest; the gate's
 	conn     net.Conn
+	rd       *http1.Reader
 	first    time.Time // limit of the first request; zero once that is there
 	until    time.Time // of the request that is being read
 	search   *search   // the last one
@@ -98,6 +99,9 @@
 // Read reads on over the deadlines that others set to wake it.
 func (c *client) Read(p []byte) (int, error) {
 	for {
+		if c.more.Load() && !c.awaits() {
+			return 0, errInTurn
+		}
 		n, err := c.conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
@@ -108,7 +112,7 @@
 		case !c.until.IsZero() && now.Before(c.until):
 			c.conn.SetReadDeadline(c.until)
 		case c.until.IsZero() && c.awaits():
-			c.conn.SetReadDeadline(time.Time{})
+			c.unlimited()
 		case !c.late && c.stopping.Err() == nil:
 			// guards against a process that was held up: what came meanwhile lies there, and no time was left to read it
 			c.late = true
@@ -136,15 +140,18 @@
 	defer unhook()
 	buf := lend()
 	defer giveBack(buf)
-	rd := http1.NewReader(c, (*buf)[:bufferSize])
+	c.rd = http1.NewReader(c, (*buf)[:bufferSize])
 	for {
 		c.until = time.Time{}
-		limit := c.first
-		if limit.IsZero() && !c.awaits() {
-			limit = time.Now().Add(quietTime)
+		switch {
+		case !c.first.IsZero():
+			c.rest(c.first)
+		case c.awaits():
+			c.unlimited()
+		default:
+			c.rest(time.Now().Add(quietTime))
 		}
-		c.rest(limit)
-		if err := rd.Await(); err != nil {
+		if err := c.rd.Await(); err != nil {
 			return endingOf(err)
 		}
 		if c.over.Load() {
@@ -156,7 +163,7 @@
 				next = c.inTurn
 			}
 			if err := next(ctx); err != nil {
-				return err
+				return endingOf(err)
 			}
 		}
 		if c.until = c.first; c.first.IsZero() {
@@ -165,7 +172,7 @@
 			c.until = time.Now().Add(lateLook)
 		}
 		c.conn.SetReadDeadline(c.until)
-		method, target, head, body, keep, err := rd.Request()
+		method, target, head, body, keep, err := c.rd.Request()
 		came := c.o.Clock.Now()
 		c.first, c.looked, c.late = time.Time{}, time.Time{}, false
 		if err == nil {
@@ -209,13 +216,28 @@
 }
 
 // inTurn waits for the answer to the request before, so that the next is taken after it. Guards, as the co-ordinator
-// stops, against a connection that is closed under a request: its client may have sent it before it could know.
+// stops, against a connection that is closed under a request: its client may have sent it before it could know. It reads
+// on meanwhile, as far as there is room, and so sees the client leave.
 func (c *client) inTurn(ctx context.Context) error {
 	c.more.Store(true)
 	defer c.more.Store(false)
-	return c.settled(ctx)
+	for c.awaits() {
+		switch err := c.rd.Ahead(); {
+		case errors.Is(err, http1.ErrFull):
+			return c.settled(ctx)
+		case err != nil && !errors.Is(err, errInTurn):
+			return err
+		}
+	}
+	if c.over.Load() {
+		return closing
+	}
+	return nil
 }
 
+// errInTurn ends what is read ahead: the answer that was awaited is out.
+var errInTurn = errors.New("the next request's turn")
+
 // settled waits for the answer that is awaited.
 func (c *client) settled(ctx context.Context) error {
 	select {
@@ -252,6 +274,19 @@
 	}
 }
 
+// unlimited reads on for as long as an answer is awaited. Guards against one that went out just then: the limit that it
+// set has been taken away.
+func (c *client) unlimited() {
+	c.conn.SetReadDeadline(time.Time{})
+	switch {
+	case c.awaits():
+	case c.over.Load():
+		c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	default:
+		c.rest(time.Now().Add(quietTime))
+	}
+}
+
 func (c *client) kick() { c.conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // wrote is told of each answer that is out whole.
@@ -270,7 +305,11 @@
 	case c.answered <- struct{}{}:
 	default:
 	}
-	if !p.last { // after it counts as answered: the reader that is woken here looks for that
+	switch { // after it counts as answered: the reader that is woken here looks for that
+	case p.last:
+	case c.more.Load():
+		c.kick()
+	default:
 		c.rest(time.Now().Add(quietTime))
 	}
 	return nil
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -26,6 +27,9 @@
 	return Fault{status, fmt.Sprintf(format, v...)}
 }
 
+// ErrFull is a buffer with no room to read on.
+var ErrFull = errors.New("the buffer is full")
+
 // Reader takes messages off a stream, which may be split at any byte.
 type Reader struct {
 	src  io.Reader
@@ -54,6 +58,15 @@
 	}
 }
 
+// Ahead reads on behind what is there while no message is being taken, so that an end is seen; ErrFull once there is no
+// room for more.
+func (r *Reader) Ahead() error {
+	if r.r == 0 && r.w == len(r.buf) {
+		return ErrFull
+	}
+	return r.fill()
+}
+
 func (r *Reader) fill() error {
 	if r.r == r.w {
 		r.r, r.w = 0, 0
