A request whose client has left by the time it is read is not sent on

Seen: connections that were accepted, or read, late (no room for newcomers, a process that is held up) brought requests whose clients had already closed, half-closed or reset them; some were sent on all the same. Cause: a reader hands a request over at its last byte and learns of the end with its next read only; the owner may have taken its turn between the two, and its calls are out then. Ruled out: a search that is withdrawn after it was handed over (its parts are taken back or given up, as before). Lines at fault: clients.go, request: nothing looked between the last byte and post. Change: where a request is sound, its reader looks once more before it hands it over, by one read that does not wait. What comes with it stands in the parser's buffer behind the request.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -1,10 +1,17 @@
 package coordinator
 
 import (
+	"context"
+	"fmt"
+	"log/slog"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"chalkring/internal/http1"
 )
 
 // leavings are the ways in which a client's connection ends.
@@ -57,3 +64,75 @@
 		})
 	}
 }
+
+// held are connections that are accepted at once and handed on later, as by a process that is held up.
+type held struct {
+	net.Listener
+	free chan struct{}
+}
+
+func (h held) Accept() (net.Conn, error) {
+	conn, err := h.Listener.Accept()
+	if err == nil {
+		<-h.free
+	}
+	return conn, err
+}
+
+// tcpState is what the kernel has a connection in.
+func tcpState(t *testing.T, conn net.Conn) (state uint8) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		require.NoError(t, err)
+		state = info.State
+	}))
+	return state
+}
+
+// The request of a client that has left by the time it is read is not sent on, however the client left.
+func TestClientThatHasLeftAlready(t *testing.T) {
+	const each, finWait2 = 40, 5 // of Linux's states: the other side has the end of what was sent
+	r := start(t, 256, nil)
+	ln, look, ended := held{listen(t), make(chan struct{})}, make(chan *owner, 1), make(chan error, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		ended <- r.plan.Serve(ctx, Means{Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
+			Log: NewLog(r.log, false, slog.LevelInfo), look: look})
+	}()
+	o := <-look
+	dial := func() *caller {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(patience))
+		return &caller{conn, r, http1.NewReader(conn, make([]byte, bufferSize))}
+	}
+	for how, leave := range leavings {
+		for i := range each {
+			c := dial().send(request(fmt.Sprint(how, i), "all", "", fourParts))
+			if how != "reset" {
+				require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+				r.eventually("its end is there", func() bool { return tcpState(t, c.Conn) == finWait2 })
+			}
+			if how != "half-closed" {
+				require.NoError(t, leave(c.Conn.(*net.TCPConn)))
+			}
+		}
+	}
+	last := dial()
+	close(ln.free)
+	last.want("last", "all", 200, wholeOfAll)
+	r.eventually("the others have ended", func() bool {
+		told := make(chan int, 1)
+		o.post(func() { told <- len(o.clients) })
+		return <-told == 1
+	})
+	require.Equal(t, 4, r.parts(), "those of the last alone")
+	last.Close()
+	stop()
+	require.NoError(t, <-ended)
+	r.end()
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"net/url"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chalkring/internal/http1"
@@ -408,12 +410,44 @@
 	if err := s.read(body, o.blocks); err != nil {
 		return err
 	}
+	if err := c.left(); err != nil {
+		return err
+	}
 	s.reply = func(r result) { c.answer(r, keep) }
 	c.search = s
 	o.post(func() { o.take(s) })
 	return nil
 }
 
+// left looks once more, without waiting, whether the client has gone. Guards against a request that is sent on for nobody,
+// in a process that comes late to read it.
+func (c *client) left() error {
+	there, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := there.SyscallConn()
+	if err != nil {
+		return broken
+	}
+	err = c.rd.Look(func(p []byte) (n int, err error) {
+		if waits := raw.Read(func(fd uintptr) bool {
+			n, err = syscall.Read(int(fd), p)
+			return true
+		}); waits != nil {
+			return 0, waits
+		}
+		if n == 0 && err == nil {
+			err = io.EOF
+		}
+		return n, err
+	})
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return endingOf(err)
+	}
+	return nil // there is nothing more, or it is not known
+}
+
 // plainName tells whether text can stand in a frame's line.
 func plainName(text string) bool {
 	for i := 0; i < len(text); i++ {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -67,6 +67,17 @@
 	return r.fill()
 }
 
+// Look reads by a read that does not wait what has come behind the message that was taken last, which still holds.
+func (r *Reader) Look(read func(p []byte) (int, error)) error {
+	for r.w < len(r.buf) {
+		n, err := read(r.buf[r.w:])
+		if r.w += max(n, 0); err != nil {
+			return err
+		}
+	}
+	return ErrFull
+}
+
 func (r *Reader) fill() error {
 	if r.r == r.w {
 		r.r, r.w = 0, 0
