No connection on which a request has come makes room while another is at rest

Seen: with no descriptor left, a connection on which a request had come in part, or whole and in that very moment, was closed for a newcomer with no answer. Three tests on pipes, where a write returns once it has been read; without the change the half request cannot be finished ("read/write on closed pipe"), and the one that is held between its last byte's read and the gate's look has no answer ("unexpected EOF"). Lines at fault: admission.go, displace; clients.go, begin behind Request alone. Ruled out: a request that is not read when the connection closes (its bytes are unread then, which resets the connection, and the client comes again). Change: connections on which a request is coming stand in a list of their own and make room only with none at rest. The gate asks a connection to make room and wakes its reader, which ends it, unless it has read something first: then another is asked. A reader's limits are set in one place, which looks for that wake.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -6,17 +6,19 @@
 )
 
 // gate shares out the clients' part of the descriptors. A connection is at work while a request taken from it
-// is not answered, and at rest otherwise; those at rest stand in a list, longest at rest first.
+// is not answered; before that a request may be coming, and otherwise it is at rest. Those at rest and those on which one
+// is coming stand in a list each, the longest first.
 // Guards against connections that are opened and not used: with no room left, the longest at rest is closed
-// for a newcomer. One at work never is.
+// for a newcomer, and with none at rest the one on which a request is longest coming. One at work never is.
 type gate struct {
 	most int
 	stir chan struct{} // something has left, or come to rest
 
-	mu       sync.Mutex
-	open     int
-	resting  list.List // of *client
-	clearing bool      // one has been told to end
+	mu      sync.Mutex
+	open    int
+	resting list.List // of *client
+	coming  list.List // of *client
+	asked   *client   // to make room; its reader ends it, unless it has read something first
 }
 
 func newGate(most int) *gate { return &gate{most: max(1, most), stir: make(chan struct{}, 1)} }
@@ -42,9 +44,9 @@
 		room := g.open < g.most
 		if room {
 			g.open++
-			c.place = g.resting.PushBack(c)
-		} else if !g.clearing {
-			g.clearing = g.displace()
+			g.put(c, &g.resting)
+		} else if g.asked == nil {
+			g.displace()
 		}
 		g.mu.Unlock()
 		if room {
@@ -58,41 +60,52 @@
 	}
 }
 
-// displace ends the connection that is longest at rest, if there is one.
-func (g *gate) displace() bool {
+// displace asks the connection that is longest at rest to make room, or else the one on which a request is longest coming.
+func (g *gate) displace() {
 	front := g.resting.Front()
 	if front == nil {
-		return false
+		front = g.coming.Front()
 	}
-	c := front.Value.(*client)
-	g.lift(c)
-	c.end(displaced)
-	return true
+	if front == nil {
+		return
+	}
+	g.asked = front.Value.(*client)
+	g.asked.asked.Store(true)
+	g.asked.kick()
 }
 
-// begin sets a connection to work; false if it has been told to end.
-func (g *gate) begin(c *client) bool {
+// comes tells that the first bytes of a request have been read; begin, that it is there and the connection at work. Guards
+// against a request that is read in the moment in which its connection is to make room: another is asked then, since
+// nothing that was read may be closed over while there is one.
+func (g *gate) comes(c *client) { g.goesOn(c, &g.coming) }
+func (g *gate) begin(c *client) { g.goesOn(c, nil) }
+
+func (g *gate) goesOn(c *client, to *list.List) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lift(c)
+	g.put(c, to)
+	if g.asked == c {
+		g.asked = nil
+		c.asked.Store(false)
+		g.stirred()
+	}
 }
 
-// lift takes a connection off the list; false if it is not there.
-func (g *gate) lift(c *client) bool {
-	if c.place == nil {
-		return false
+// put sets a connection on a list, or on none, off the one that it is on.
+func (g *gate) put(c *client, to *list.List) {
+	if c.place != nil {
+		c.on.Remove(c.place)
+	}
+	if c.place, c.on = nil, to; to != nil {
+		c.place = to.PushBack(c)
 	}
-	g.resting.Remove(c.place)
-	c.place = nil
-	return true
 }
 
 // rest puts a connection to rest after an answer; one whose last answer is out is the first to make room.
 func (g *gate) rest(c *client, last bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lift(c)
-	if c.place = g.resting.PushBack(c); last {
+	if g.put(c, &g.resting); last {
 		g.resting.MoveToFront(c.place)
 	}
 	g.stirred()
@@ -101,8 +114,10 @@
 func (g *gate) leave(c *client) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lift(c)
+	g.put(c, nil)
 	g.open--
-	g.clearing = false
+	if g.asked == c {
+		g.asked = nil
+	}
 	g.stirred()
 }
--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -136,3 +138,120 @@
 	require.NoError(t, <-ended)
 	r.end()
 }
+
+// piped starts a further co-ordinator whose clients come by pipes: a write there returns once it has been read. made
+// changes the co-ordinator's side of a connection, and may be nil.
+func (r *rig) piped() (call func(made func(net.Conn) net.Conn) *caller, end func()) {
+	p, look, ended := &pipes{conns: make(chan net.Conn)}, make(chan *owner, 1), make(chan error, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	r.t.Cleanup(stop)
+	go func() {
+		ended <- r.plan.Serve(ctx, Means{Listener: p, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
+			Log: NewLog(r.log, false, slog.LevelInfo), look: look})
+	}()
+	<-look
+	var callers []net.Conn
+	call = func(made func(net.Conn) net.Conn) *caller {
+		own, other := net.Pipe()
+		if made != nil {
+			other = made(other)
+		}
+		p.conns <- other
+		callers = append(callers, own)
+		r.t.Cleanup(func() { own.Close() })
+		own.SetDeadline(time.Now().Add(patience))
+		return &caller{own, r, http1.NewReader(own, make([]byte, bufferSize))}
+	}
+	return call, func() {
+		stop()
+		for _, conn := range callers {
+			conn.Close()
+		}
+		select {
+		case err := <-ended:
+			require.NoError(r.t, err)
+		case <-time.After(patience):
+			require.Fail(r.t, "does not end")
+		}
+		r.end()
+	}
+}
+
+// With no descriptor left, a connection on which a request has begun to come makes no room while another is at rest.
+func TestBegunRequestsKeepTheirConnections(t *testing.T) {
+	r := start(t, 16, nil)
+	call, end := r.piped()
+	text := request("begun", "all", "", fourParts)
+	begun := call(nil).send(text[:len(text)-1])
+	head := call(nil).send(text[:1])
+	for range 30 { // many times the room
+		call(nil)
+	}
+	status, _, _, _ := begun.send(text[len(text)-1:]).answer()
+	require.Equal(t, 200, status)
+	status, _, _, _ = head.send(text[1:]).answer()
+	require.Equal(t, 200, status)
+	end()
+}
+
+// With none at rest, the one that has been longest about it makes room all the same.
+func TestBegunRequestsMakeRoom(t *testing.T) {
+	r := start(t, 16, nil)
+	call, end := r.piped()
+	first := call(nil).send("P")
+	for range 7 {
+		call(nil).send("P")
+	}
+	call(nil).want("new", "all", 200, wholeOfAll)
+	_, err := first.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+	end()
+}
+
+// lastLook holds what a read has brought until the connection has been told to end.
+type lastLook struct {
+	net.Conn
+	read, told chan struct{}
+	once       sync.Once
+}
+
+func (l *lastLook) Read(p []byte) (int, error) {
+	n, err := l.Conn.Read(p)
+	if n > 0 {
+		close(l.read)
+		<-l.told
+	}
+	return n, err
+}
+
+func (l *lastLook) SetReadDeadline(at time.Time) error {
+	if !at.IsZero() && at.Before(time.Now()) {
+		l.once.Do(func() { close(l.told) })
+	}
+	return l.Conn.SetReadDeadline(at)
+}
+
+func (l *lastLook) Close() error {
+	l.once.Do(func() { close(l.told) })
+	return l.Conn.Close()
+}
+
+// A request that has been read whole in the moment in which its connection is to make room has its answer; another
+// connection makes room.
+func TestRequestAsItsConnectionMakesRoom(t *testing.T) {
+	r := start(t, 16, nil)
+	call, end := r.piped()
+	at := &lastLook{read: make(chan struct{}), told: make(chan struct{})}
+	c := call(func(conn net.Conn) net.Conn { at.Conn = conn; return at })
+	c.send(request("read", "all", "", fourParts))
+	<-at.read
+	for range 7 {
+		call(nil)
+	}
+	last := call(nil) // waits for room
+	status, _, text, _ := c.answer()
+	require.Equal(t, 200, status)
+	require.JSONEq(t, wholeOfAll, text)
+	last.want("last", "all", 200, wholeOfAll)
+	end()
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -74,7 +74,8 @@
 type client struct {
 	*front
 	*link
-	place    *list.Element // in the gate's list, while at rest; the gate's
+	on       *list.List    // of the gate's, while no request is at work; the gate's
+	place    *list.Element // on it; the gate's
 	conn     net.Conn
 	rd       *http1.Reader
 	first    time.Time // limit of the first request; zero once that is there
@@ -86,6 +87,7 @@
 	answered chan struct{}
 	over     atomic.Bool  // the last answer is out
 	more     atomic.Bool  // bytes have come behind the request that is open, as the co-ordinator stops
+	asked    atomic.Bool  // to make room for another; the gate's
 	unsent   atomic.Int64 // bytes of answers that it has not taken
 }
 
@@ -111,14 +113,16 @@
 		switch now := time.Now(); {
 		case c.over.Load():
 			return 0, closing
+		case c.asked.Load() && !c.more.Load(): // what has been read ahead is looked at first
+			return 0, displaced
 		case !c.until.IsZero() && now.Before(c.until):
-			c.conn.SetReadDeadline(c.until)
+			c.limit(c.until)
 		case c.until.IsZero() && c.awaits():
 			c.unlimited()
 		case !c.late && c.stopping.Err() == nil:
 			// guards against a process that was held up: what came meanwhile lies there, and no time was left to read it
 			c.late = true
-			c.conn.SetReadDeadline(now.Add(lateLook))
+			c.limit(now.Add(lateLook))
 		case !c.until.IsZero():
 			return 0, slow
 		case c.stopping.Err() != nil: // a request that comes soon is taken; more than one may wake it meanwhile
@@ -128,7 +132,7 @@
 			if !now.Before(c.looked) {
 				return 0, closing
 			}
-			c.conn.SetReadDeadline(c.looked)
+			c.limit(c.looked)
 		default:
 			return 0, unused
 		}
@@ -168,19 +172,18 @@
 				return endingOf(err)
 			}
 		}
+		c.gate.comes(c)
 		if c.until = c.first; c.first.IsZero() {
 			c.until = time.Now().Add(headTime)
 		} else if c.late {
 			c.until = time.Now().Add(lateLook)
 		}
-		c.conn.SetReadDeadline(c.until)
+		c.limit(c.until)
 		method, target, head, body, keep, err := c.rd.Request()
 		came := c.o.Clock.Now()
 		c.first, c.looked, c.late = time.Time{}, time.Time{}, false
 		if err == nil {
-			if !c.gate.begin(c) {
-				return displaced
-			}
+			c.gate.begin(c)
 			c.waiting = true
 			err = c.request(method, target, head, body, keep, came)
 		}
@@ -268,9 +271,17 @@
 	}
 }
 
+// limit lets reading wait up to a time. Guards against a newcomer whose kick came just before.
+func (c *client) limit(at time.Time) {
+	c.conn.SetReadDeadline(at)
+	if c.asked.Load() {
+		c.kick()
+	}
+}
+
 // rest lets the connection be unused up to a time. Guards against a stop whose kick came just before.
 func (c *client) rest(limit time.Time) {
-	c.conn.SetReadDeadline(limit)
+	c.limit(limit)
 	if c.stopping.Err() != nil {
 		c.kick()
 	}
