What still comes after a last answer is read before the connection closes

Seen: who sent several requests ahead got a 400 and a close at once, over tens of kilobytes that were not read; so did who sent on behind its last request. A close over unread bytes resets the connection: where the answer has to be sent again on its way, the client never has it. Cause: ahead and the look behind Await ended the reader, and with it the socket, as soon as the last answer was out; only the path of requests that cannot be read lingered (drain). Ruled out by reading: answers that are written when the process closes with nothing unread (the system goes on sending them), requests read behind CloseWrite (none is sent on; the test holds that too). Lines at fault: clients.go, read: return closing behind ahead and behind Await. Change: all three linger, for a second and 256 KiB at the most, and not shorter because a stop or a newcomer's wake comes meanwhile; a newcomer ends it.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -255,3 +256,59 @@
 	last.want("last", "all", 200, wholeOfAll)
 	end()
 }
+
+// halves is a pipe of which one direction can be shut.
+type halves struct {
+	net.Conn
+	shut chan struct{}
+}
+
+func (h halves) CloseWrite() error {
+	close(h.shut)
+	return nil
+}
+
+// After a last answer what still comes is read for a while, so that no reset goes after the answer, which may still be on
+// its way: where a client sent ahead, and where it sends on behind its last request. None of it is sent on.
+func TestReadsOnAfterTheLastAnswer(t *testing.T) {
+	more := strings.Repeat(request("next", "all", "", fourParts), 100) // several buffers
+	for name, x := range map[string]struct {
+		head   string
+		ahead  bool
+		status int
+	}{"sent ahead": {"", true, 400}, "last request": {"Connection: close\r\n", false, 200}} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, 256, nil)
+			call, end := r.piped()
+			gate := make(chan struct{})
+			r.allow(func(a asked) { go func() { <-gate; a.Good() }() })
+			h := halves{nil, make(chan struct{})}
+			c := call(func(conn net.Conn) net.Conn { h.Conn = conn; return h })
+			c.send(request("first", "all", x.head, fourParts))
+			r.eventually("parts are out", func() bool { return r.parts() == 4 })
+			sent := make(chan error, 1)
+			send := func() {
+				_, err := c.Write([]byte(more))
+				sent <- err
+			}
+			if x.ahead {
+				go send()
+			} else {
+				close(gate)
+			}
+			status, _, _, keep := c.answer()
+			require.Equal(t, x.status, status)
+			require.False(t, keep)
+			<-h.shut
+			if !x.ahead {
+				go send()
+			}
+			require.NoError(t, <-sent)
+			c.Close()
+			if end(); x.ahead {
+				close(gate)
+			}
+			require.Equal(t, 4, r.parts())
+		})
+	}
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -111,7 +111,7 @@
 			return n, err
 		}
 		switch now := time.Now(); {
-		case c.over.Load():
+		case c.over.Load() && !now.Before(c.until):
 			return 0, closing
 		case c.asked.Load() && !c.more.Load(): // what has been read ahead is looked at first
 			return 0, displaced
@@ -161,6 +161,7 @@
 			return endingOf(err)
 		}
 		if c.over.Load() {
+			c.linger((*buf)[:bufferSize])
 			return closing
 		}
 		if c.awaits() {
@@ -169,6 +170,9 @@
 				next = c.inTurn
 			}
 			if err := next(ctx); err != nil {
+				if c.over.Load() {
+					c.linger((*buf)[:bufferSize])
+				}
 				return endingOf(err)
 			}
 		}
@@ -197,7 +201,8 @@
 			c.o.log.often("bad_request", "bad_request", "client", c.conn.RemoteAddr().String(),
 				"status", bad.Status, "error", bad.Text)
 			c.respond(bad.Status, "", []byte("{}"), false)
-			c.drain(ctx, (*buf)[:bufferSize])
+			c.linger((*buf)[:bufferSize])
+			c.settled(ctx)
 			return garbled
 		case err != nil:
 			return endingOf(err)
@@ -257,18 +262,16 @@
 	return nil
 }
 
-// drain reads on after a last answer, so that the client can read why, whatever it still sends; not for good.
-func (c *client) drain(ctx context.Context, buf []byte) {
+// linger reads on with a last answer, which then is not cut off by a reset, so that the client can read why; not for good.
+func (c *client) linger(buf []byte) {
+	c.until = time.Now().Add(lingerTime)
+	c.limit(c.until)
 	for left := lingerMost; left > 0; {
 		n, err := c.Read(buf)
 		if left -= n; err != nil {
 			return
 		}
 	}
-	select {
-	case <-c.answered:
-	case <-ctx.Done():
-	}
 }
 
 // limit lets reading wait up to a time. Guards against a newcomer whose kick came just before.
