Connections that wait in the system's queue as the listener closes are taken first

Seen: a process that is held up (SIGSTOP here, no CPU elsewhere) over the end of the 0.5 s in which new connections are taken after SIGTERM closed its listener over connections that had come in time, with their requests written; the system resets them. Cause: the timer and the waiting connections are ready in the same moment, and whichever goroutine runs first wins; the close throws away what is queued. Lines at fault: shutdown.go, windUp. Ruled out: connections that come later than that, which the platform no longer sends, and connections that were accepted (they have their second). Change: instead of closing, windUp gives the listener a deadline of 50 ms; accept takes what is there, and closes it then. Where accept waits for room, the listener closes a second later. Listeners without deadlines, those of several owners in one process, are closed at once as before.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"chalkring/internal/http1"
+	"chalkring/standin"
 )
 
 // leavings are the ways in which a client's connection ends.
@@ -312,3 +314,33 @@
 		})
 	}
 }
+
+// Connections that have come by the time at which no more are taken are taken, each with its request, also where the
+// process was held up just then.
+func TestConnectionsThatWaitAtTheStop(t *testing.T) {
+	r := process(t, nil)
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	require.NoError(t, r.Signal("n", syscall.SIGTERM))
+	require.NoError(t, r.Logged(ctx, "n", "event=stopping", 1))
+	time.Sleep(takeOn / 2)
+	require.NoError(t, r.Signal("n", syscall.SIGSTOP))
+	var conns []net.Conn
+	for i := range 100 {
+		conn, err := net.Dial("tcp", r.Wired("n").Client)
+		require.NoError(t, err)
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		_, err = conn.Write([]byte(standin.Search{ID: fmt.Sprint("c", i), Type: "full-match", Shards: []int{0, 1, 2, 3},
+			Patience: 2 * time.Second, Tenant: "acme"}.Text()))
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	time.Sleep(takeOn)
+	require.NoError(t, r.Signal("n", syscall.SIGCONT))
+	for i, conn := range conns {
+		status, _, _, _, err := http1.NewReader(conn, make([]byte, 16<<10)).Response()
+		require.NoError(t, err, "connection %d", i)
+		require.Contains(t, []int{200, 503}, status, "connection %d", i)
+	}
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -32,6 +32,10 @@
 	o := f.o
 	for {
 		conn, err := o.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // see takeLast
+			o.Listener.Close()
+			err = net.ErrClosed
+		}
 		if errors.Is(err, net.ErrClosed) {
 			o.post(func() { o.ending = true })
 			return nil
--- a/coordinator/shutdown.go
+++ b/coordinator/shutdown.go
@@ -23,16 +23,30 @@
 	case <-o.Clock.After(takeOn):
 	case <-o.ctx.Done():
 	}
-	o.Listener.Close()
+	o.takeLast()
 	stop()
 	select {
-	case <-o.Clock.After(stopMost):
+	case <-o.Clock.After(stopQuiet):
+		o.Listener.Close() // whose accept may be waiting for room
+	case <-o.ctx.Done():
+	}
+	select {
+	case <-o.Clock.After(stopMost - stopQuiet):
 		o.lastly.Store(true)
 	case <-o.ctx.Done():
 	}
 	return nil
 }
 
+// takeLast has the listener closed once the connections that have come are taken. Guards against a process that was held up:
+// what waits in the system's queue is reset by the close. A listener that knows no deadline is closed at once.
+func (o *owner) takeLast() {
+	ln, ok := o.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || ln.SetDeadline(time.Now().Add(lateLook)) != nil {
+		o.Listener.Close()
+	}
+}
+
 // told tells that the co-ordinator has been told to end.
 func (o *owner) told() bool { return o.endBy.Load() != nil }
 
