A stopping co-ordinator, too, looks once more before it ends a connection whose time is over

Seen: while the co-ordinator stops, a reader whose process was held up over the end of a time (the 2.5 s of a request, the 1 s without one) closed its connection over bytes that had come in time: a read whose deadline is over returns without looking. The test has a byte there and both times over; without the change Read ends with slow and closing. Lines at fault: clients.go, Read, the case !c.late && c.stopping.Err() == nil. Ruled out: the same before a stop, and a request that begins to come in that last look (it has the time of any other; tried on a pipe, sound). Change: the 1 s is asked for before the look, and the look is the same in both.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -344,3 +344,37 @@
 		require.Contains(t, []int{200, 503}, status, "connection %d", i)
 	}
 }
+
+// While the co-ordinator stops, too, what came in time is read, though the process was held up and its time is over by the
+// time it looks: a request's last bytes, and a request on a connection at rest.
+func TestLateLookAtTheStop(t *testing.T) {
+	for name, c := range map[string]*client{
+		"a request": {until: time.Now().Add(-time.Second)},
+		"at rest":   {looked: time.Now().Add(-time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := listen(t)
+			there, err := net.Dial("tcp", ln.Addr().String())
+			require.NoError(t, err)
+			defer there.Close()
+			here, err := ln.Accept()
+			require.NoError(t, err)
+			defer here.Close()
+			stopping, stop := context.WithCancel(context.Background())
+			stop()
+			c.front, c.conn, c.answered = &front{stopping: stopping}, here, make(chan struct{}, 1)
+			_, err = there.Write([]byte("x"))
+			require.NoError(t, err)
+			c.kick()
+			n, err := c.Read(make([]byte, 2))
+			require.NoError(t, err)
+			require.Equal(t, 1, n)
+			_, err = c.Read(make([]byte, 2)) // once
+			want := closing
+			if !c.until.IsZero() {
+				want = slow
+			}
+			require.Equal(t, want, endingOf(err))
+		})
+	}
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -123,26 +123,33 @@
 			c.limit(c.until)
 		case c.until.IsZero() && c.awaits():
 			c.unlimited()
-		case !c.late && c.stopping.Err() == nil:
+		case c.until.IsZero() && c.looksOn(now):
+			c.limit(c.looked)
+		case !c.late:
 			// guards against a process that was held up: what came meanwhile lies there, and no time was left to read it
 			c.late = true
 			c.limit(now.Add(lateLook))
 		case !c.until.IsZero():
 			return 0, slow
-		case c.stopping.Err() != nil: // a request that comes soon is taken; more than one may wake it meanwhile
-			if c.looked.IsZero() {
-				c.looked = now.Add(stopQuiet)
-			}
-			if !now.Before(c.looked) {
-				return 0, closing
-			}
-			c.limit(c.looked)
+		case c.stopping.Err() != nil:
+			return 0, closing
 		default:
 			return 0, unused
 		}
 	}
 }
 
+// looksOn tells whether a request that comes soon is still taken, as the co-ordinator stops; more than one may wake it meanwhile.
+func (c *client) looksOn(now time.Time) bool {
+	if c.stopping.Err() == nil {
+		return false
+	}
+	if c.looked.IsZero() {
+		c.looked = now.Add(stopQuiet)
+	}
+	return now.Before(c.looked)
+}
+
 // read takes requests one after another. While a search is on, it waits for the next request, and so sees
 // the client leave.
 func (c *client) read(ctx context.Context) error {
