Every answer is held against its own request, under clients that leave, send ahead and send in pieces

No fault found: 16 clients with 60 searches each, texts from a few bytes to many buffers, whole, escaped, in chunks and in pieces, some left, refused or sent ahead.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -378,3 +381,89 @@
 		})
 	}
 }
+
+// Every answer has the values of its own request, whatever else is open, given up, refused or sent in pieces then: room that
+// is used again never shows another's. A client that leaves in between or sends ahead costs the others nothing.
+func TestAnswersAreTheirOwn(t *testing.T) {
+	const clients, each = 16, 60
+	r := start(t, 256, nil)
+	var g sync.WaitGroup
+	var sound atomic.Int32
+	faults := make(chan string, clients*each)
+	for k := range clients {
+		chance := rand.New(rand.NewSource(int64(k)))
+		g.Go(func() {
+			c := r.call()
+			for i := range each {
+				id := fmt.Sprintf("c%d-%d", k, i)
+				what := id + strings.Repeat("/"+id, chance.Intn(40)*chance.Intn(40)) // some longer than the buffers
+				if i%7 == 0 {
+					what += `\"\u00fc` // has to be escaped again
+				}
+				body := strings.Replace(fourParts, `"what"`, `"`+what+`"`, 1)
+				text := request(id, "all", "", body)
+				if i%3 == 0 {
+					at := chance.Intn(len(body)) + 1
+					text = strings.Replace(request(id, "all", "", ""), "Content-Length: 0\r\n\r\n", fmt.Sprintf(
+						"Transfer-Encoding: chunked\r\n\r\n%x;a=b\r\n%s\r\n", at, body[:at]), 1)
+					if at < len(body) {
+						text += fmt.Sprintf("%x\r\n%s\r\n", len(body)-at, body[at:])
+					}
+					text += "0\r\nT: 1\r\n\r\n"
+				}
+				switch chance.Intn(8) {
+				case 0: // leaves
+					c.Write([]byte(text))
+					c.Close()
+					c = r.call()
+					continue
+				case 1: // sends ahead
+					c.Write([]byte(text + text))
+					c.Close()
+					c = r.call()
+					continue
+				case 2: // is refused
+					c.Write([]byte(strings.Replace(text, "X-Tenant: acme", "X-Tenant: nobody", 1)))
+					if status, _, got, _, err := c.rd.Response(); err != nil || status != 400 || string(got) != "{}" {
+						faults <- fmt.Sprint(id, " refused: ", status, err)
+						return
+					}
+				}
+				for cut := chance.Intn(len(text)); text != ""; cut = len(text) {
+					c.Write([]byte(text[:cut]))
+					text = text[cut:]
+				}
+				var got struct {
+					Answers []struct{ Blob string }
+				}
+				status, _, answer, _, err := c.rd.Response()
+				if err == nil && status == 200 {
+					err = json.Unmarshal(answer, &got)
+				}
+				var want string
+				json.Unmarshal([]byte(`"`+what+`"`), &want)
+				if err == nil && status == 503 { // a machine that is busy enough
+					continue
+				}
+				if err != nil || status != 200 || len(got.Answers) != 4 {
+					faults <- fmt.Sprintf("%s: %d %v %.200s", id, status, err, answer)
+					return
+				}
+				for shard, one := range got.Answers {
+					if one.Blob != fmt.Sprintf("%s@%d", want, shard) {
+						faults <- fmt.Sprintf("%s got %.200s", id, one.Blob)
+						return
+					}
+				}
+				sound.Add(1)
+			}
+		})
+	}
+	g.Wait()
+	close(faults)
+	for text := range faults {
+		t.Error(text)
+	}
+	require.Positive(t, sound.Load())
+	r.end()
+}
