A connection that waited for room has its 2.5 s for a first request from then on

Seen: with all descriptors at work, a newcomer that waited over 2.5 s for one of them was closed 50 ms after it had it, also in the middle of a request that came in pieces. Cause: the limit of the first request counted from accept, before the gate was asked for room. Lines at fault: clients.go, accept. Ruled out: a wrong last look (it had its 50 ms). Change: it counts from the room.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -467,3 +467,30 @@
 	require.Positive(t, sound.Load())
 	r.end()
 }
+
+// A connection that waited for room has the time of any other for its first request from then on.
+func TestFirstRequestAfterAWait(t *testing.T) {
+	t.Parallel()
+	r := start(t, 16, nil)
+	call, end := r.piped()
+	gate := make(chan struct{})
+	r.allow(func(a asked) { go func() { <-gate; a.Good() }() })
+	var busy []*caller
+	for i := range 8 { // all the room
+		busy = append(busy, call(nil).send(request(fmt.Sprint("busy", i), "all", "", fourParts)))
+	}
+	r.eventually("parts are out", func() bool { return r.parts() == 4*len(busy) })
+	c := call(nil)
+	time.Sleep(headTime + lateLook)
+	close(gate)
+	for _, b := range busy {
+		status, _, _, _ := b.answer()
+		require.Equal(t, 200, status)
+	}
+	text := request("late", "all", "", fourParts)
+	c.send(text[:100])
+	time.Sleep(3 * lateLook) // no verdict rests on its length: it is in the request's own time
+	status, _, _, _ := c.send(text[100:]).answer()
+	require.Equal(t, 200, status)
+	end()
+}
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -49,11 +49,12 @@
 			continue
 		}
 		c := &client{front: f, link: newLink(o.ctx, clientRoom), conn: conn,
-			first: time.Now().Add(headTime), answered: make(chan struct{}, 1)}
+			answered: make(chan struct{}, 1)}
 		if !f.gate.enter(c, o.ctx.Done()) {
 			conn.Close()
 			return nil
 		}
+		c.first = time.Now().Add(headTime) // it may have waited for room longer than that
 		o.post(func() { o.clients[c.link] = true })
 		o.g.Go(func() error {
 			end := c.serve(conn, clientStall, c.read, c.wrote)
