--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -494,3 +494,27 @@
 	require.Equal(t, 200, status)
 	end()
 }
+
+// As the co-ordinator stops, more requests in a piece than its buffer holds are answered one after another, each once.
+func TestManySentAheadAtTheStop(t *testing.T) {
+	r := start(t, 256, nil)
+	c := r.call()
+	c.want("first", "all", 200, wholeOfAll)
+	r.stop()
+	r.logged("event=stopping")
+	const many = 170 // some 60 KB
+	var all strings.Builder
+	for i := range many {
+		what := strings.Replace(fourParts, `"what"`, fmt.Sprintf(`"what%d"`, i), 1)
+		all.WriteString(request(fmt.Sprint("m", i), "all", "", what))
+	}
+	require.Greater(t, all.Len(), 3*bufferSize)
+	go c.Write([]byte(all.String()))
+	for i := range many {
+		status, _, body, _ := c.answer()
+		require.Equal(t, 200, status)
+		require.JSONEq(t, strings.ReplaceAll(wholeOfAll, "what", fmt.Sprint("what", i)), body)
+	}
+	r.end()
+	require.Equal(t, 4*(many+1), r.parts())
+}
