The last look at a client and the gate's list cost a search nothing

Found by taking the two apart: the read that does not wait made its way to the socket anew for each request (four, coordinator/clients.go, left), and moving a connection from one list to the other made an element (one, admission.go, put).

Change: the read is made once for a connection (atOnce); the gate has one list again, and a mark on a connection on which a request is coming. The tests of the gate are untouched and pass.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -6,19 +6,18 @@
 )
 
 // gate shares out the clients' part of the descriptors. A connection is at work while a request taken from it
-// is not answered; before that a request may be coming, and otherwise it is at rest. Those at rest and those on which one
-// is coming stand in a list each, the longest first.
+// is not answered; before that a request may be coming, and otherwise it is at rest. Those not at work stand in a list,
+// longest without work first.
 // Guards against connections that are opened and not used: with no room left, the longest at rest is closed
-// for a newcomer, and with none at rest the one on which a request is longest coming. One at work never is.
+// for a newcomer, and with none at rest the first on which a request is coming. One at work never is.
 type gate struct {
 	most int
 	stir chan struct{} // something has left, or come to rest
 
-	mu      sync.Mutex
-	open    int
-	resting list.List // of *client
-	coming  list.List // of *client
-	asked   *client   // to make room; its reader ends it, unless it has read something first
+	mu    sync.Mutex
+	open  int
+	idle  list.List // of *client
+	asked *client   // to make room; its reader ends it, unless it has read something first
 }
 
 func newGate(most int) *gate { return &gate{most: max(1, most), stir: make(chan struct{}, 1)} }
@@ -44,7 +43,7 @@
 		room := g.open < g.most
 		if room {
 			g.open++
-			g.put(c, &g.resting)
+			c.place = g.idle.PushBack(c)
 		} else if g.asked == nil {
 			g.displace()
 		}
@@ -60,30 +59,39 @@
 	}
 }
 
-// displace asks the connection that is longest at rest to make room, or else the one on which a request is longest coming.
+// displace asks the connection that is longest at rest to make room, or else the first on which a request is coming.
 func (g *gate) displace() {
-	front := g.resting.Front()
-	if front == nil {
-		front = g.coming.Front()
+	for e := g.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client); g.asked == nil || !c.coming {
+			if g.asked = c; !c.coming {
+				break
+			}
+		}
 	}
-	if front == nil {
-		return
+	if g.asked != nil {
+		g.asked.asked.Store(true)
+		g.asked.kick()
 	}
-	g.asked = front.Value.(*client)
-	g.asked.asked.Store(true)
-	g.asked.kick()
 }
 
 // comes tells that the first bytes of a request have been read; begin, that it is there and the connection at work. Guards
 // against a request that is read in the moment in which its connection is to make room: another is asked then, since
 // nothing that was read may be closed over while there is one.
-func (g *gate) comes(c *client) { g.goesOn(c, &g.coming) }
-func (g *gate) begin(c *client) { g.goesOn(c, nil) }
+func (g *gate) comes(c *client) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.coming = true
+	g.goesOn(c)
+}
 
-func (g *gate) goesOn(c *client, to *list.List) {
+func (g *gate) begin(c *client) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.put(c, to)
+	g.lift(c)
+	g.goesOn(c)
+}
+
+func (g *gate) goesOn(c *client) {
 	if g.asked == c {
 		g.asked = nil
 		c.asked.Store(false)
@@ -91,22 +99,22 @@
 	}
 }
 
-// put sets a connection on a list, or on none, off the one that it is on.
-func (g *gate) put(c *client, to *list.List) {
+// lift takes a connection off the list, if it is there.
+func (g *gate) lift(c *client) {
 	if c.place != nil {
-		c.on.Remove(c.place)
-	}
-	if c.place, c.on = nil, to; to != nil {
-		c.place = to.PushBack(c)
+		g.idle.Remove(c.place)
+		c.place = nil
 	}
+	c.coming = false
 }
 
 // rest puts a connection to rest after an answer; one whose last answer is out is the first to make room.
 func (g *gate) rest(c *client, last bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.put(c, &g.resting); last {
-		g.resting.MoveToFront(c.place)
+	g.lift(c)
+	if c.place = g.idle.PushBack(c); last {
+		g.idle.MoveToFront(c.place)
 	}
 	g.stirred()
 }
@@ -114,7 +122,7 @@
 func (g *gate) leave(c *client) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.put(c, nil)
+	g.lift(c)
 	g.open--
 	if g.asked == c {
 		g.asked = nil
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -79,16 +79,17 @@
 type client struct {
 	*front
 	*link
-	on       *list.List    // of the gate's, while no request is at work; the gate's
-	place    *list.Element // on it; the gate's
+	place    *list.Element // in the gate's list, while no request is at work; the gate's
+	coming   bool          // a request is, and is not there yet; the gate's
 	conn     net.Conn
 	rd       *http1.Reader
-	first    time.Time // limit of the first request; zero once that is there
-	until    time.Time // of the request that is being read
-	search   *search   // the last one
-	waiting  bool      // for an answer
-	looked   time.Time // until when a last request is awaited, since the one before it; zero while it need not be
-	late     bool      // its time was over and it was looked once more, since the request before
+	now      func(p []byte) (int, error) // reads without waiting; nil where that is not known
+	first    time.Time                   // limit of the first request; zero once that is there
+	until    time.Time                   // of the request that is being read
+	search   *search                     // the last one
+	waiting  bool                        // for an answer
+	looked   time.Time                   // until when a last request is awaited, since the one before it; zero while it need not be
+	late     bool                        // its time was over and it was looked once more, since the request before
 	answered chan struct{}
 	over     atomic.Bool  // the last answer is out
 	more     atomic.Bool  // bytes have come behind the request that is open, as the co-ordinator stops
@@ -158,7 +159,7 @@
 	defer unhook()
 	buf := lend()
 	defer giveBack(buf)
-	c.rd = http1.NewReader(c, (*buf)[:bufferSize])
+	c.rd, c.now = http1.NewReader(c, (*buf)[:bufferSize]), atOnce(c.conn)
 	for {
 		c.until = time.Time{}
 		switch {
@@ -448,30 +449,42 @@
 // left looks once more, without waiting, whether the client has gone. Guards against a request that is sent on for nobody,
 // in a process that comes late to read it.
 func (c *client) left() error {
-	there, ok := c.conn.(syscall.Conn)
+	if c.now == nil {
+		return nil
+	}
+	err := c.rd.Look(c.now)
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return endingOf(err)
+	}
+	return nil // there is nothing more, or it is not known
+}
+
+// atOnce gives a read of a connection that does not wait, made once for all its requests; nil where there is none.
+func atOnce(conn net.Conn) func(p []byte) (int, error) {
+	there, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
 	raw, err := there.SyscallConn()
 	if err != nil {
-		return broken
-	}
-	err = c.rd.Look(func(p []byte) (n int, err error) {
-		if waits := raw.Read(func(fd uintptr) bool {
-			n, err = syscall.Read(int(fd), p)
-			return true
-		}); waits != nil {
-			return 0, waits
+		return nil
+	}
+	var into []byte
+	var n int
+	read := func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), into)
+		return true
+	}
+	return func(p []byte) (int, error) {
+		into = p
+		if ended := raw.Read(read); ended != nil {
+			return 0, ended
 		}
 		if n == 0 && err == nil {
-			err = io.EOF
+			return 0, io.EOF
 		}
 		return n, err
-	})
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		return endingOf(err)
 	}
-	return nil // there is nothing more, or it is not known
 }
 
 // plainName tells whether text can stand in a frame's line.
