--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -391,7 +391,8 @@
 		return refuse("target %.40q", target)
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	if path == "/healthz" {
+	_, known := c.classes[first]
+	if path == "/healthz" && (method == "GET" || !known) { // a class may bear that name
 		if method != "GET" {
 			return refusal{405, "method of /healthz"}
 		}
@@ -409,7 +410,6 @@
 		o.post(func() { c.respond(200, "Content-Type: text/plain; version=0.0.4", body, keep) })
 		return nil
 	}
-	_, known := c.classes[first]
 	qtype, ok := c.classes[head["x-class"]]
 	switch {
 	case method != "POST" && known:
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand"
 	"os"
 	"slices"
@@ -35,7 +36,7 @@
 		units, _ := amount(m["weight"])
 		since, _ := amount(m["started_ms"])
 		gone := status == "deregistered"
-		if id == "" || status == "" || !gone && (addr == "" || !ok) {
+		if id == "" || status == "" || !gone && (addr == "" || !ok || cell < 0 || cell != math.Trunc(cell)) {
 			return 0, nil, nil, fmt.Errorf("entry id=%q addr=%q state=%q cell=%v", id, addr, word(m["state"]), m["cell"])
 		}
 		zone, kind := o.nth("FailureDomains", word(m["zone"])), o.nth("MachineTypes", word(m["kind"]))
