A late connection gets a third connect, sooner where the time to connect is short

Cause: where a third of the connects come up late, one in nine had both of its two late, and the second was not tried before 0.1 s of the 0.25 s that the settings give (coordinator/replicas.go, connect). A search of four parts and three more in its second step, each on a new connection, nearly always waited 0.1 s for one, of targets of 0.4 to 0.9 s.

Evidence: the trace of zone+brink; one co-ordinator's connections there ended as not_up four times in 25 s, each a suspect for a second.

Change: another connect beside what is not up each 0.1 s, or each fifth of the settings' time to connect if that is less, three in all; the bound on their descriptors stands. TestConnect says what three ways do, all earlier cases kept ('both silent' is now 'all silent', since two silent ways are helped by a third): it fails without the change, which makes two dials.

--- a/coordinator/connect_test.go
+++ b/coordinator/connect_test.go
@@ -47,32 +47,33 @@
 	return c.Conn.Close()
 }
 
-// A second way is tried only where the first is not up in time, the one that is up first is used, and the other is closed.
+// A further way is tried only where none is up in time, the one that is up first is used, and the others are closed.
 func TestConnect(t *testing.T) {
 	gone := errors.New("refused")
+	type ways = [dialMost]func(ctx context.Context) (net.Conn, error)
 	for name, x := range map[string]struct {
-		first, second func(ctx context.Context) (net.Conn, error)
-		dials         int
-		fails         error
+		ways  [dialMost]func(ctx context.Context) (net.Conn, error)
+		dials int
+		fails error
 	}{
-		"quick":          {up(0), up(0), 1, nil},
-		"refused":        {fail(gone), up(0), 1, gone},
-		"late":           {up(5 * dialAgain), up(0), 2, nil},
-		"silent":         {silent, up(0), 2, nil},
-		"both":           {silent, silent, 2, context.DeadlineExceeded},
-		"second refused": {up(3 * dialAgain), fail(gone), 2, nil},
+		"quick":          {ways{up(0)}, 1, nil},
+		"refused":        {ways{fail(gone), up(0)}, 1, gone},
+		"late":           {ways{up(5 * dialAgain), up(0)}, 2, nil},
+		"silent":         {ways{silent, up(0)}, 2, nil},
+		"both silent":    {ways{silent, silent, up(0)}, 3, nil},
+		"all silent":     {ways{silent, silent, silent}, 3, context.DeadlineExceeded},
+		"all late":       {ways{up(5 * dialAgain), up(6 * dialAgain), up(7 * dialAgain)}, 3, nil},
+		"second refused": {ways{up(3 * dialAgain / 2), fail(gone)}, 2, nil},
+		"third refused":  {ways{up(4 * dialAgain), silent, fail(gone)}, 3, nil},
+		"refused late":   {ways{silent, fail(gone), fail(gone)}, 3, context.DeadlineExceeded},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var dials atomic.Int32
 			var mu sync.Mutex
 			var made []*counted
 			g := &errgroup.Group{}
-			o := &owner{g: g, Means: Means{Clock: SystemClock{}, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
-				way := x.first
-				if dials.Add(1) == 2 {
-					way = x.second
-				}
-				conn, err := way(ctx)
+			o := &owner{g: g, sockets: 100, Means: Means{Clock: SystemClock{}, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				conn, err := x.ways[dials.Add(1)-1](ctx)
 				if err != nil {
 					return nil, err
 				}
@@ -84,7 +85,7 @@
 			}}}
 			ctx, stop := context.WithTimeout(context.Background(), 10*dialAgain)
 			defer stop()
-			conn, err := o.connect(ctx, "x")
+			conn, err := o.connect(ctx, "x", dialAgain)
 			require.NoError(t, g.Wait())
 			require.EqualValues(t, x.dials, dials.Load())
 			require.ErrorIs(t, err, x.fails)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // replica is one machine of the list and the connections to it.
@@ -417,7 +418,7 @@
 	o.g.Go(func() error {
 		end := notUp
 		ctx, stop := context.WithTimeout(l.ctx, wait)
-		conn, err := o.connect(ctx, addr)
+		conn, err := o.connect(ctx, addr, min(dialAgain, wait/dialParts))
 		stop()
 		if endingOf(err) == starved {
 			end = starved
@@ -444,18 +445,19 @@
 	}
 }
 
-// connect opens a connection, and tries a second time beside the first if that is not up after dialAgain. Guards against
-// connections that come up late or never at a replica that is sound: what waits for one would be late with it. Harm: a
-// replica that is silent is asked for two connections in place of one, and for DialTimeout one more descriptor is used; of
-// many that are silent, besideShare is.
-func (o *owner) connect(ctx context.Context, addr string) (net.Conn, error) {
+// connect opens a connection, and tries again beside what is not up each time that it has waited for so long, dialMost times
+// in all. Guards against connections that come up late or never at a replica that is sound: what waits for one would be
+// late with it. Harm: a replica that is silent is asked for three connections in place of one, and until the time to connect
+// is over two more descriptors are used; of many that are silent, besideShare is.
+func (o *owner) connect(ctx context.Context, addr string, wait time.Duration) (net.Conn, error) {
 	type ended struct {
 		conn net.Conn
 		err  error
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	tries, out := make(chan ended, 2), 0
+	tries, out, beside := make(chan ended, dialMost), 0, 0
+	defer func() { o.beside.Add(int64(-beside)) }()
 	dial := func() {
 		out++
 		o.g.Go(func() error {
@@ -465,23 +467,28 @@
 		})
 	}
 	dial()
-	again := o.Clock.After(dialAgain)
+	again := o.Clock.After(wait)
 	for {
 		select {
 		case <-again:
-			if again = nil; o.beside.Add(1) <= max(1, int64(besideShare*float64(o.sockets))) {
+			again = nil
+			if beside++; o.beside.Add(1) <= max(1, int64(besideShare*float64(o.sockets))) {
 				dial()
 			}
-			defer o.beside.Add(-1)
+			if beside < dialMost-1 {
+				again = o.Clock.After(wait)
+			}
 		case t := <-tries:
 			out--
 			if t.err != nil && out > 0 {
 				continue
 			}
 			if out > 0 {
-				o.g.Go(func() error { // the other is called off; it may be up all the same
-					if t := <-tries; t.err == nil {
-						t.conn.Close()
+				o.g.Go(func() error { // the others are called off; they may be up all the same
+					for range out {
+						if t := <-tries; t.err == nil {
+							t.conn.Close()
+						}
 					}
 					return nil
 				})
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -38,7 +38,7 @@
 	replicaRoom  = 512                     // frames waiting on a replica's: calls of 32 streams with their cancels
 	clientShare  = 0.55                    // of the descriptors go to clients; a search rests on several replicas,
 	replicaShare = 0.35                    // yet parts share connections; the rest is for list, log, runtime
-	besideShare  = 0.05                    // of them, of that rest, go to second connects beside late ones
+	besideShare  = 0.05                    // of them, of that rest, go to further connects beside late ones
 	memoryShare  = 0.75                    // of the memory limit is the runtime's goal: the rest is stacks, kernel
 	headTime     = 2500 * time.Millisecond // for a request to come, the first from connecting: under 3 s are owed
 	quietTime    = 3 * time.Second         // a client connection at rest is closed: usual clients ask several a second
@@ -74,7 +74,9 @@
 	doubtMost    = 2                       // connections to a replica passed over for that: a silent replica gets no more
 	differsMost  = 8                       // names of settings in a log line
 	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
-	dialAgain    = 100 * time.Millisecond  // for a connection to come up before a second is tried: most take a few
+	dialAgain    = 100 * time.Millisecond  // at most, for a connection to come up before another is tried: most take a few
+	dialParts    = 5                       // or this part of the time to connect: the last try has over half of it left
+	dialMost     = 3                       // connects for one connection: of those that come late one in three, one in 27 waits
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
 	wordsMost    = 200                     // bytes of a replica's words in a log line
