A log whose reader has gone does not end the process

Cause: Go ends a process whose write to standard error meets a closed pipe (SIGPIPE on descriptors 1 and 2), and the program did not rule that out: with the log collector gone, the next line took all open searches with it.

Seen: TestLogThatNobodyHolds starts the built program with a pipe for its log, closes the reading end and sends SIGHUP, which writes a line: without the change the next connect is refused, with it searches are served and SIGTERM ends it with 0. Ruled out: the plan (SIGHUP with an open pipe goes on), sockets (their broken writes are errors in Go, not signals). At fault: main.go, serve.Run, which left SIGPIPE as it was.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -66,6 +66,7 @@
 }
 
 func (s *serve) Run(hangUps chan os.Signal) error {
+	signal.Ignore(syscall.SIGPIPE) // guards against an end by a line of the log whose reader has gone
 	log := coordinator.NewLog(os.Stderr, false, slog.LevelInfo)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
