A log that nobody reads holds up neither start, new plans nor the end

Cause: one goroutine writes the lines, so that searches do not wait for the log, but the end waits for that goroutine, and a start that fails and the goroutine of new plans write by themselves. A write to a pipe that is full waits for good: SIGTERM did not end the process, and after reload_failed no SIGHUP counted any more.

Ruled out: connections (the client had closed), discovery (it answered), the wait for the owner (its goroutine had ended). At fault: logging.go, notes.write, where what is left is written with no bound; main.go, which gave the log standard error.

Change: coordinator.Unstalled writes in a goroutine of its own and gives a line up after 1 s, those after it at once until it is taken; lines the log did not take count in log_full; what is left at the end has 2 s.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -67,7 +67,8 @@
 
 func (s *serve) Run(hangUps chan os.Signal) error {
 	signal.Ignore(syscall.SIGPIPE) // guards against an end by a line of the log whose reader has gone
-	log := coordinator.NewLog(os.Stderr, false, slog.LevelInfo)
+	told := coordinator.Unstalled(os.Stderr)
+	log := coordinator.NewLog(told, false, slog.LevelInfo)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	noStart := func(err error) error {
@@ -90,7 +91,7 @@
 		if err != nil {
 			return noStart(err)
 		}
-		log = logOf(file.Log, os.Stderr)
+		log = logOf(file.Log, told)
 		if plan, err = settingsOf(file, plan); err != nil {
 			return noStart(fmt.Errorf("%s: %w", s.Installation, err))
 		}
--- a/coordinator/logging.go
+++ b/coordinator/logging.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -23,6 +24,58 @@
 	return slog.New(slog.NewTextHandler(to, opts))
 }
 
+// unstalled hands what is written to a goroutine of its own and waits for it only so long.
+type unstalled struct {
+	mu    sync.Mutex
+	text  []byte // the goroutine's until it is done
+	texts chan []byte
+	done  chan error
+	stuck bool // it is not done with the text before
+}
+
+var errStalled = errors.New("the log is not read")
+
+// Unstalled writes to a file that another may read late or never, such as a pipe: what is not taken within logStall is
+// given up with an error, and so is, at once, all that follows until it is taken. Guards against a process that can neither
+// end nor take new plans since nobody reads what it says. What is written is out when Write returns without an error.
+func Unstalled(to io.Writer) io.Writer {
+	u := &unstalled{texts: make(chan []byte), done: make(chan error, 1)}
+	go func() {
+		for text := range u.texts {
+			_, err := to.Write(text)
+			u.done <- err
+		}
+	}()
+	return u
+}
+
+func (u *unstalled) Write(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.stuck {
+		select {
+		case <-u.done:
+			u.stuck = false
+		default:
+			return 0, errStalled
+		}
+	}
+	u.text = append(u.text[:0], p...)
+	u.texts <- u.text
+	late := time.NewTimer(logStall)
+	defer late.Stop()
+	select {
+	case err := <-u.done:
+		if err != nil {
+			return 0, err
+		}
+		return len(p), nil
+	case <-late.C:
+		u.stuck = true
+		return 0, errStalled
+	}
+}
+
 // notes is the log as the co-ordinator's goroutines write to it: no one waits for it. Lines that find it
 // full are dropped and counted. Guards against a reader of the log that stalls.
 type notes struct {
@@ -83,26 +136,37 @@
 	n.spoke[kind], n.more[kind] = now, 0
 }
 
-// write writes the lines out until ctx ends, and then what is left.
+// write writes the lines out until ctx ends, and then what is left, for logLast at the most.
 func (n *notes) write(ctx context.Context) error {
 	for {
 		select {
 		case l := <-n.lines:
-			l.to.Handle(ctx, l.r)
-			if lost := n.lost.Swap(0); lost > 0 {
-				r := slog.NewRecord(n.clock.Now(), slog.LevelWarn, "log_full", 0)
-				r.Add("lines_lost", lost)
-				n.out.Handle(ctx, r)
-			}
+			n.writeOne(ctx, l)
 		case <-ctx.Done():
-			for {
+			for by := n.clock.Now().Add(logLast); n.clock.Now().Before(by); {
 				select {
 				case l := <-n.lines:
-					l.to.Handle(ctx, l.r)
+					n.writeOne(ctx, l)
 				default:
 					return nil
 				}
 			}
+			return nil
+		}
+	}
+}
+
+// writeOne writes a line out, and behind it how many before it are lost: dropped, or not taken by the log.
+func (n *notes) writeOne(ctx context.Context, l entry) {
+	if l.to.Handle(ctx, l.r) != nil {
+		n.lost.Add(1)
+		return
+	}
+	if lost := n.lost.Swap(0); lost > 0 {
+		r := slog.NewRecord(n.clock.Now(), slog.LevelWarn, "log_full", 0)
+		r.Add("lines_lost", lost)
+		if n.out.Handle(ctx, r) != nil {
+			n.lost.Add(lost)
 		}
 	}
 }
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -66,6 +66,8 @@
 	lingerTime   = time.Second             // for a client to read its last answer and close
 	lingerMost   = 256 << 10               // bytes read meanwhile: four of the longest bodies; more is cut off
 	logRoom      = 1024                    // lines waiting for the log: a burst of some for each connection
+	logStall     = time.Second             // for a line to be taken: a reader that is only slow needs less
+	logLast      = 2 * time.Second         // for what is left of the log at the end: the process is to end soon
 	logEach      = time.Second             // between two lines on one thing that strangers can repeat at will
 	frameTime    = 300 * time.Millisecond  // from a frame's first byte to its last: answers fit a few packets
 	doubtLeast   = 1000                    // tenths of a millisecond under a part without a word on its connection,
