At SIGHUP what open searches may hold follows a new memory_mb

Cause: the bytes for open searches and their answers, a quarter of memory_mb, were reckoned once at the start, while the runtime's goal follows a new plan at once. With less memory searches could go on holding more than the goal leaves beside the rest; with more, searches were turned away for a lack that was no longer there.

Seen: TestRoomFollowsANewPlan; without the change the room stays at that of 192 MB after a plan with 64 MB. Ruled out: the goal itself, which Reloads sets by Bound; the descriptors, which follow by the closure beside this one. At fault: reload.go, front.reload, which posted the descriptors alone.

Change: the same closure sets the room; Plan.room reckons it in both places; reloaded names memory_mb.

--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -73,21 +73,21 @@
 	return strings.Join(names, ",")
 }
 
-// reload takes new plans into force: where discovery is, and how many descriptors there are. The rest waits
-// for a restart: the module takes its settings once.
+// reload takes new plans into force: where discovery is, how many descriptors there are, and how much searches may hold.
+// The rest waits for a restart: the module takes its settings once.
 func (f *front) reload(plans <-chan *Plan) error {
 	o := f.o
 	for {
 		select {
 		case p := <-plans:
-			o.log.Info("reloaded", "discovery", p.Discovery, "sockets", p.Sockets,
+			o.log.Info("reloaded", "discovery", p.Discovery, "sockets", p.Sockets, "memory_mb", p.MemoryMB,
 				"waits_for_restart", o.plan.differs(p))
 			room := int(clientShare * float64(p.Sockets))
 			if o.door != nil {
 				room -= o.door.Connections
 			}
 			f.gate.resize(room)
-			o.post(func() { o.sockets = p.Sockets })
+			o.post(func() { o.sockets, o.room = p.Sockets, p.room() })
 			select {
 			case o.moves <- p.Discovery:
 			case <-o.ctx.Done():
--- a/coordinator/restart_moments_test.go
+++ b/coordinator/restart_moments_test.go
@@ -192,3 +192,22 @@
 	l.signal(syscall.SIGTERM)
 	l.over(0)
 }
+
+// A new plan with other memory: what open searches may hold follows it, as the runtime's goal does.
+func TestRoomFollowsANewPlan(t *testing.T) {
+	r := start(t, 256, nil)
+	room := func() (now float64) {
+		told := make(chan struct{})
+		require.True(t, r.owner.post(func() { now = r.owner.room; close(told) }))
+		<-told
+		return now
+	}
+	require.Equal(t, 48.0*(1<<20), room())
+	for memory, want := range map[int]float64{64: 16 << 20, 4: roomLeast, 512: 128 << 20} {
+		p := *r.plan
+		p.MemoryMB = memory
+		r.plans <- &p
+		r.eventually(fmt.Sprint("room of ", memory, " MB"), func() bool { return room() == want })
+	}
+	r.end()
+}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -420,6 +420,9 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(p.MemoryMB) * (1 << 20)))
 }
 
+// room is the bytes for open searches and their answers.
+func (p *Plan) room() float64 { return max(roomLeast, roomShare*float64(p.MemoryMB)*(1<<20)) }
+
 // Serve works until ctx ends and all that was taken is answered; then it returns nil, and no goroutine of
 // it is left.
 func (p *Plan) Serve(ctx context.Context, m Means) (err error) {
@@ -431,7 +434,7 @@
 		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
 		blocks: p.Blocks(), streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
 		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{},
-		room: max(roomLeast, roomShare*float64(p.MemoryMB)*(1<<20))}
+		room: p.room()}
 	for i := range p.count("Classes") {
 		v, _ := strconv.ParseFloat(p.list("Specifics.FollowUp")[i], 64)
 		o.followUps = append(o.followUps, int(v))
