A start whose address the process before still has waits for it

Cause: a process that was told to end listens on for half a second and more; a start in that time failed at once with exit code 1, which the platform takes for a crash, and said nothing of what to do.

Seen: TestStartWhileTheAddressIsTaken starts the built program right after SIGTERM to the one before. Without the change: no_start, bind: address already in use, and nobody serves; with it the second is ready once the first has closed its listener. With the address taken for good it ends with 1 after 5 s and a word on what to do; SIGTERM meanwhile ends it with 0. Ruled out: TIME_WAIT (Go sets SO_REUSEADDR), the plan, the first one's end (0, by itself). At fault: main.go, net.Listen with one try, for clients, peers and the other front alike.

Change: those three try again for 5 s while the address is in use, and tell so once; NoAddress has advice.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -72,6 +72,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	noStart := func(err error) error {
+		if ctx.Err() != nil && errors.Is(err, context.Canceled) { // told to end while it waited
+			return nil
+		}
 		log.Error("no_start", fault.Attrs(err)...)
 		return exit(1)
 	}
@@ -101,10 +104,10 @@
 			}
 			return nil
 		}
-		if more, err = peersOf(file, plan.Name, log); err != nil {
+		if more, err = peersOf(ctx, file, plan.Name, log); err != nil {
 			return noStart(err)
 		}
-		if fronts, err = frontsOf(file); err != nil {
+		if fronts, err = frontsOf(ctx, file, log); err != nil {
 			return noStart(err)
 		}
 		if keep = keepOf(file, plan, log); keep != nil {
@@ -148,7 +151,7 @@
 		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, log)}
 	if steps != nil {
 		ctx = steps.serving(ctx, &means)
-	} else if means.Listener, err = net.Listen("tcp", plan.Listen); err != nil {
+	} else if means.Listener, err = listen(ctx, plan.Listen, log); err != nil {
 		return noStart(err)
 	}
 	if err := plan.Several(ctx, means, owners); err != nil {
@@ -158,6 +161,52 @@
 	return nil
 }
 
+const (
+	listenMost = 5 * time.Second       // for an address that is in use to be free: the process before has it 1 s after SIGTERM
+	listenEach = 20 * time.Millisecond // between two tries meanwhile
+)
+
+// NoAddress is an address that cannot be listened on.
+type NoAddress struct {
+	Address string
+	Err     error
+}
+
+func (e *NoAddress) Error() string { return e.Err.Error() }
+func (e *NoAddress) Unwrap() error { return e.Err }
+
+// Advice tells an operator what to do.
+func (e *NoAddress) Advice() string {
+	if errors.Is(e.Err, syscall.EADDRINUSE) {
+		return fmt.Sprintf("Another process listens on %s and has not let go in %v: end it, or give this one another listen address.",
+			e.Address, listenMost)
+	}
+	return "Give an address of this machine, with a port that this user may listen on, as listen."
+}
+
+// listen listens on an address, and waits for it while another has it. Guards against a restart that overlaps: the process
+// before still takes connections for a while after SIGTERM.
+func listen(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
+	until, told := time.Now().Add(listenMost), false
+	for {
+		ln, err := net.Listen("tcp", address)
+		switch {
+		case err == nil:
+			return ln, nil
+		case !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until):
+			return nil, &NoAddress{address, err}
+		case !told:
+			told = true
+			log.Warn("address_in_use", "listen", address, "waits", listenMost)
+		}
+		select {
+		case <-time.After(listenEach):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // logOf is the log as an installation wants it.
 func logOf(l installation.Log, to io.Writer) *slog.Logger {
 	var least slog.Level
@@ -178,7 +227,7 @@
 }
 
 // peersOf opens what an installation's peers need.
-func peersOf(file *installation.File, name string, log *slog.Logger) (*coordinator.Peers, error) {
+func peersOf(ctx context.Context, file *installation.File, name string, log *slog.Logger) (*coordinator.Peers, error) {
 	p := file.Peers
 	if p == nil {
 		return nil, nil
@@ -199,7 +248,7 @@
 		return nil, err
 	}
 	if p.Listen != "" {
-		more.Listener, err = net.Listen("tcp", p.Listen)
+		more.Listener, err = listen(ctx, p.Listen, log)
 	}
 	return more, err
 }
@@ -221,7 +270,7 @@
 }
 
 // frontsOf opens what an installation's other fronts need.
-func frontsOf(file *installation.File) ([]coordinator.Front, error) {
+func frontsOf(ctx context.Context, file *installation.File, log *slog.Logger) ([]coordinator.Front, error) {
 	o := file.OpenSearch
 	if o == nil {
 		return nil, nil
@@ -237,7 +286,7 @@
 			return nil, err
 		}
 	}
-	if f.Listener, err = net.Listen("tcp", o.Listen); err != nil {
+	if f.Listener, err = listen(ctx, o.Listen, log); err != nil {
 		return nil, err
 	}
 	return []coordinator.Front{f}, nil
--- a/coordinator/restart_moments_test.go
+++ b/coordinator/restart_moments_test.go
@@ -193,6 +193,58 @@
 	l.over(0)
 }
 
+// Connections that came while the process was held up are taken before its listener closes: a reset would lose what their
+// clients have sent.
+func TestConnectionsThatWaitAsTheListenerCloses(t *testing.T) {
+	l := newLife(t)
+	l.start(nil)
+	l.ready()
+	l.signal(syscall.SIGTERM)
+	l.logged("event=stopping")
+	l.signal(syscall.SIGSTOP)
+	var readers []*http1.Reader
+	for i := range 60 {
+		conn, rd := l.dial()
+		_, err := conn.Write([]byte(request(fmt.Sprint("w", i), "all", "", fourParts)))
+		require.NoError(t, err)
+		readers = append(readers, rd)
+	}
+	time.Sleep(takeOn + 100*time.Millisecond)
+	l.signal(syscall.SIGCONT)
+	for i, rd := range readers {
+		status, _, _, _, err := rd.Response()
+		require.NoError(t, err, "connection %d\n%s", i, l.log)
+		require.Contains(t, []int{200, 503}, status)
+	}
+	l.over(0)
+}
+
+// A start while the process before it still has the address waits for it; one whose address stays another's says so.
+func TestStartWhileTheAddressIsTaken(t *testing.T) {
+	l := newLife(t)
+	l.start(nil)
+	l.ready()
+	first := *l
+	l.signal(syscall.SIGTERM)
+	l.start(nil)
+	first.over(0)
+	l.ready()
+	l.served("a")
+	other := *l
+	other.start(nil)
+	other.logged("event=address_in_use")
+	other.over(1)
+	require.Contains(t, other.log.String(), "event=no_start")
+	require.Contains(t, other.log.String(), "do=")
+	l.served("b")
+	other.start(nil) // told to end while it waits, it does
+	other.logged("event=address_in_use")
+	other.signal(syscall.SIGTERM)
+	other.over(0)
+	l.signal(syscall.SIGTERM)
+	l.over(0)
+}
+
 // A new plan with other memory: what open searches may hold follows it, as the runtime's goal does.
 func TestRoomFollowsANewPlan(t *testing.T) {
 	r := start(t, 256, nil)
