A fleet's store that another fleet or customer wrote is refused, and nothing of it taken

Cause: what instances share (package share over `fleet.store`), the change that runs, kept contracts and this instance's life were kept without a word of whose they are. An instance given another's path believed all of it.

Ruled out: the co-ordinator's own word (`whose` in its bucket) does not stand for this; it is another bucket, often another file, and it differs as soon as one tenant is added, which here would take a fleet's own changes and contracts from it.

At fault: cmd/chalkring/fleet.go, sharing.open and openStore took any store.

Change: fleet.Identity: the fleet's own name (`fleet.cluster`, new, optional), else marks of the plan's tenants. Kept in the write that keeps the first life, before anything else is written (a disk that hangs is waited for 2 s). OthersStore says what to do; the instance then works without a store.

The plan is read once more for the tenants, since the start hands over its name alone.

--- a/cmd/chalkring/fleet.go
+++ b/cmd/chalkring/fleet.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/binary"
 	"log/slog"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"chalkring/coordinator"
 	"chalkring/fault"
 	"chalkring/fleet"
@@ -20,13 +23,16 @@
 	closeMost   = time.Second      // for what is shared to be on the disk as the instance goes
 	leaveMost   = 2 * time.Second  // for that, the words of leaving, and the store to be let go of
 	lifeWait    = 30 * time.Second // for this life to be on the disk: one that takes longer is stuck
+	lifeSoon    = 2 * time.Second  // that the features wait for it: what a disk that cannot be written holds can be read
 	fleetBucket = "fleet"
 	lifeKey     = "life"
+	whoseKey    = "whose" // which fleet and customer wrote the store
 )
 
 // sharing is what an installation's instances share: who is there, and what is kept about it. Its features rest on it.
 type sharing struct {
 	file  installation.Fleet
+	whose fleet.Identity
 	node  *gossip.Node
 	book  *fleet.Book
 	log   *slog.Logger
@@ -55,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	whose := identityOf(own, os.Getenv)
 	o := gossip.Options{Me: fleet.Member{Name: own.Name, Region: own.Region, Zone: own.Zone, Program: built()}, Listed: own.Listed,
 		Listen: own.Listen, Join: own.Join, Via: own.Via, Log: log, Seed: time.Now().UnixNano()}
 	if own.Key != "" {
@@ -62,7 +69,7 @@
 			return nil, err
 		}
 	}
-	s := &sharing{file: own, log: log, opened: make(chan struct{})}
+	s := &sharing{file: own, whose: whose, log: log, opened: make(chan struct{})}
 	if keep != nil && keep.Path() == own.Store {
 		s.keep = keep
 	}
@@ -78,6 +85,15 @@
 	return s, nil
 }
 
+// identityOf is what this fleet is told from others by: its name, and the tenants of the plan that the process starts with.
+func identityOf(own installation.Fleet, env func(string) string) fleet.Identity {
+	var tenants []string
+	if plan, err := coordinator.Read(env); err == nil { // one that cannot be used has ended the start before
+		tenants = plan.Site().Tenants
+	}
+	return fleet.IdentityOf(own.Cluster, tenants)
+}
+
 // peers are the others that are there now, and all that count.
 func (s *sharing) peers() (alive, listed []string) { return s.book.Others(), s.file.Listed }
 
@@ -94,28 +110,67 @@
 	return s.store, nil
 }
 
-// open opens the store and keeps which life this is: the one before it is over, whatever others still believe.
+// open opens the store and keeps whose it is and which life this is: the one before it is over, whatever others still
+// believe. A store of another fleet is left as it is.
 func (s *sharing) open() {
+	told := sync.OnceFunc(func() { close(s.opened) })
+	defer told()
 	kept := s.openStore()
-	s.store = kept
-	close(s.opened)
 	if kept == nil {
 		return
 	}
+	if err := s.mine(kept); err != nil {
+		s.complain(err)
+		if s.keep == nil {
+			ctx, stop := context.WithTimeout(context.Background(), closeMost)
+			defer stop()
+			if err := kept.Close(ctx); err != nil {
+				s.complain(err)
+			}
+		}
+		return
+	}
+	s.store = kept
 	before, found, err := kept.Get(fleetBucket, lifeKey)
 	if err != nil {
 		s.complain(err)
 	} else if found && len(before) == 8 {
 		s.node.Before(binary.BigEndian.Uint64(before))
 	}
+	// Nothing else is written before whose the store is; guards against a disk that hangs: what it holds is there all the same.
+	late := time.AfterFunc(lifeSoon, told)
+	defer late.Stop()
 	ctx, stop := context.WithTimeout(s.ctx, lifeWait)
 	defer stop()
-	life := binary.BigEndian.AppendUint64(nil, s.book.Me().Incarnation)
-	if err := kept.Put(ctx, fleetBucket, map[string][]byte{lifeKey: life}, nil); err != nil && s.ctx.Err() == nil {
+	puts := map[string][]byte{lifeKey: binary.BigEndian.AppendUint64(nil, s.book.Me().Incarnation)}
+	if s.whose.Known() {
+		if puts[whoseKey], err = cbor.Marshal(s.whose); err != nil {
+			s.complain(err)
+			delete(puts, whoseKey)
+		}
+	}
+	if err := kept.Put(ctx, fleetBucket, puts, nil); err != nil && s.ctx.Err() == nil {
 		s.complain(err)
 	}
 }
 
+// mine looks whose a store is. Guards against another fleet's or customer's: its change of settings would be laid over these,
+// its contracts would hold here. A store from before this was kept counts as this fleet's.
+func (s *sharing) mine(kept *store.Store) error {
+	text, found, err := kept.Get(fleetBucket, whoseKey)
+	if err != nil || !found {
+		return err
+	}
+	var theirs fleet.Identity
+	if err := cbor.Unmarshal(text, &theirs); err != nil {
+		return err
+	}
+	if theirs.Other(s.whose) {
+		return &fleet.OthersStore{Theirs: theirs, Ours: s.whose}
+	}
+	return nil
+}
+
 func (s *sharing) complain(err error) {
 	s.log.Warn("fleet_store", fault.Attrs(err, "path", s.file.Store)...)
 }
--- a/installation/fleet.go
+++ b/installation/fleet.go
@@ -16,8 +16,9 @@
 
 // Fleet is this instance among those that decide together. docs/fleet.md and deploy/fleet.yaml tell what may stand in it.
 type Fleet struct {
-	Name        string            `yaml:"name"`   // its own, the plan's where it is left out
-	Region      string            `yaml:"region"` // where it stands
+	Cluster     string            `yaml:"cluster"` // the fleet's own name, the same on all its instances; told by the plan's tenants where it is left out
+	Name        string            `yaml:"name"`    // its own, the plan's where it is left out
+	Region      string            `yaml:"region"`  // where it stands
 	Zone        string            `yaml:"zone"`
 	Listen      string            `yaml:"listen"` // TCP and UDP; the address under which others reach it
 	Join        []string          `yaml:"join"`   // others to begin with; its own may be among them
@@ -57,6 +58,12 @@
 	if p == nil {
 		return
 	}
+	if p.Cluster != "" {
+		c.name("$.fleet.cluster", p.Cluster)
+		if len(p.Cluster) > fleet.ClusterMost {
+			c.fault("$.fleet.cluster", "%d letters, %d at the most", len(p.Cluster), fleet.ClusterMost)
+		}
+	}
 	if p.Name != "" {
 		c.name("$.fleet.name", p.Name)
 	}
