Instances of another fleet or customer are refused in the gossip, on both sides

Cause: with one key, or none, and addresses named by mistake, or a port that changed hands, two fleets became one: the ledger, changes and contracts of each came into the other. Only the keyring stood against it; one key for two fleets is the same mistake again.

Evidence: TestAnotherCustomersFleet, two fleets of two on sockets with one key. Without the delegates for words and merges nobody is refused (the wait of 40 s ends). With them and without the guard in NotifyMsg, a message from an instance that was refused is handed on: expected "b its own", actual "c of another"

At fault: gossip/gossip.go config (no Alive and Merge delegate), gossip/run.go NotifyMsg (an unknown sender was heard).

Change: the identity goes in what an instance says of itself (an older program passes it over, and says none, which counts as the fleet's own). Another's is refused before it is in the book, with the state it brings; a message from who is not in the book is waited for a second, for word of its sender, then dropped. One line `fleet_other` in 10 s at the most. Without an identity all is as before.

--- a/cmd/chalkring/fleet.go
+++ b/cmd/chalkring/fleet.go
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	whose := identityOf(own, os.Getenv)
-	o := gossip.Options{Me: fleet.Member{Name: own.Name, Region: own.Region, Zone: own.Zone, Program: built()}, Listed: own.Listed,
+	o := gossip.Options{Whose: whose, Me: fleet.Member{Name: own.Name, Region: own.Region, Zone: own.Zone, Program: built()}, Listed: own.Listed,
 		Listen: own.Listen, Join: own.Join, Via: own.Via, Log: log, Seed: time.Now().UnixNano()}
 	if own.Key != "" {
 		if o.Key, o.Older, err = gossip.ReadKeys(own.Key); err != nil {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -49,6 +49,9 @@
 	sendsMost    = 16                     // messages on their way at once
 	queueMost    = 16                     // messages of a topic that wait for their handler
 	queueWait    = 2 * time.Second        // for room there
+	othersEvery  = 10 * time.Second       // between lines on other fleets' instances: each second brings a try
+	strangerMost = time.Second            // for word of an instance to come after a message of its: both go out at once
+	strangerLook = 10 * time.Millisecond  // between looks for it
 	portTries    = 20                     // for a free port where any will do
 	wordTopic    = 0                      // the package's own messages: words that lives are over
 )
@@ -57,6 +60,7 @@
 
 // Options are what an instance starts with.
 type Options struct {
+	Whose  fleet.Identity    // of the fleet: instances of another are refused
 	Me     fleet.Member      // name, region, zone and the like; Incarnation is the start's time in ns where it is 0
 	Listed []string          // names of all instances that count for a majority
 	Listen string            // address and port, TCP and UDP, under which others reach it
@@ -83,8 +87,9 @@
 	ctx      context.Context
 	work     sync.WaitGroup
 	sends    chan struct{}
-	unheard  atomic.Bool // somebody still speaks of a life of mine that is over
-	chance   *rand.Rand  // of run
+	others   *rate.Limiter // of lines on other fleets' instances
+	unheard  atomic.Bool   // somebody still speaks of a life of mine that is over
+	chance   *rand.Rand    // of run
 
 	events struct { // what the library has told and run has not looked at
 		sync.Mutex
@@ -125,7 +130,7 @@
 	}
 	n := &Node{o: o, log: o.Log, decoding: newDecoding(), began: time.Now(), sends: make(chan struct{}, sendsMost),
 		chance: rand.New(rand.NewSource(o.Seed)), kick: make(chan struct{}, 1), nodes: map[string]memberlist.Node{},
-		last: map[string]string{}, handlers: map[byte]chan message{}, gone: make(chan struct{})}
+		last: map[string]string{}, handlers: map[byte]chan message{}, gone: make(chan struct{}), others: rate.NewLimiter(rate.Every(othersEvery), 1)}
 	n.events.of = map[string]event{}
 	if n.log == nil {
 		n.log = slog.New(slog.DiscardHandler)
@@ -144,7 +149,7 @@
 	if !me.Usable() {
 		err = errWord
 	} else {
-		_, err = encodeMember(me)
+		_, err = n.encodeMember(me)
 	}
 	n.ctx, n.stop = context.WithCancel(ctx) // messages come as soon as the list is there
 	if err == nil {
@@ -197,10 +202,13 @@
 	return nil
 }
 
+// keyOf is the library's name of a life.
+func keyOf(name string, incarnation uint64) string { return fmt.Sprintf("%s#%x", name, incarnation) }
+
 func (n *Node) config(at netip.AddrPort, logger *stdlog.Logger) *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
 	me := n.book.Me()
-	n.own = fmt.Sprintf("%s#%x", me.Name, me.Incarnation)
+	n.own = keyOf(me.Name, me.Incarnation)
 	c.Name = n.own
 	c.Transport, c.Logger = n.wire, logger
 	c.BindAddr, c.AdvertiseAddr = at.Addr().String(), at.Addr().String()
@@ -211,7 +219,7 @@
 	c.PushPullInterval, c.TCPTimeout = pushPull, streamMost
 	c.EnableCompression = false // its kind takes 50 ms of a core for a message of 1 MiB
 	c.DNSConfigPath = ""
-	c.Delegate, c.Events = (*delegate)(n), (*delegate)(n)
+	c.Delegate, c.Events, c.Alive, c.Merge = (*delegate)(n), (*delegate)(n), (*delegate)(n), (*delegate)(n)
 	if len(n.o.Key) > 0 {
 		c.SecretKey = n.o.Key
 		c.Keyring, _ = memberlist.NewKeyring(n.o.Older, n.o.Key) // lengths were looked at by Start
@@ -235,7 +243,7 @@
 	if !m.Usable() {
 		return errWord
 	}
-	if _, err := encodeMember(m); err != nil {
+	if _, err := n.encodeMember(m); err != nil {
 		return err
 	}
 	n.book.Change(n.Now(), m)
--- a/gossip/run.go
+++ b/gossip/run.go
@@ -25,7 +25,7 @@
 func (d *delegate) node() *Node { return (*Node)(d) }
 
 func (d *delegate) NodeMeta(limit int) []byte {
-	text, err := encodeMember(d.book.Me())
+	text, err := d.node().encodeMember(d.book.Me())
 	if err != nil || len(text) > limit {
 		return nil // Start and Update have looked at it
 	}
@@ -42,6 +42,57 @@
 func (d *delegate) NotifyUpdate(node *memberlist.Node) { d.note(node, true) }
 func (d *delegate) NotifyLeave(node *memberlist.Node)  { d.note(node, false) }
 
+// NotifyAlive looks at each word that an instance is there before the library takes it. Guards against another customer's
+// fleet at the same addresses, with the same key or none: its ledger, changes and contracts would come in here.
+func (d *delegate) NotifyAlive(node *memberlist.Node) error {
+	n := d.node()
+	err := n.other(node)
+	if err != nil && n.others.Allow() {
+		n.log.Warn("fleet_other", fault.Attrs(err)...)
+	}
+	return err
+}
+
+// NotifyMerge looks at all that one tells who joins, or is joined: of a fleet that is another's whole nothing is taken, words
+// that lives are over neither. One that has a foreign instance among its own is heard, and that one left out by NotifyAlive.
+func (d *delegate) NotifyMerge(nodes []*memberlist.Node) error {
+	var last error
+	own := len(nodes) == 0
+	for _, node := range nodes {
+		if err := d.NotifyAlive(node); err != nil {
+			last = err
+		} else {
+			own = true
+		}
+	}
+	if own {
+		return nil
+	}
+	return last
+}
+
+// other tells whether an instance is of another fleet.
+func (n *Node) other(node *memberlist.Node) error {
+	var w word
+	if len(node.Meta) > metaMost || n.decoding.Unmarshal(node.Meta, &w) != nil || !w.Whose.Usable() || !n.o.Whose.Other(w.Whose) {
+		return nil // what cannot be read is left to takeEvents
+	}
+	return &fleet.OthersInstance{Name: w.Name, Addr: node.Address(), Theirs: w.Whose, Ours: n.o.Whose}
+}
+
+// stranger tells whether an instance that sends has not been taken in, here or by the library.
+func (n *Node) stranger(name string, incarnation uint64) bool {
+	if !n.o.Whose.Known() { // nobody is refused
+		return false
+	}
+	if _, known := n.book.Standing(name, incarnation); known {
+		return false
+	}
+	n.events.Lock()
+	defer n.events.Unlock()
+	return !n.events.of[keyOf(name, incarnation)].there
+}
+
 func (d *delegate) note(node *memberlist.Node, there bool) {
 	d.events.Lock()
 	if _, waits := d.events.of[node.Name]; !waits {
@@ -69,6 +120,13 @@
 	if state, known := n.book.Standing(from, incarnation); known && state.Over() { // guards against an old voice
 		return
 	}
+	// Guards against an instance of another fleet at an address where one of this fleet was: who was refused is not heard.
+	for until := time.Now().Add(strangerMost); n.stranger(from, incarnation); {
+		if n.ctx.Err() != nil || time.Now().After(until) {
+			return
+		}
+		time.Sleep(strangerLook)
+	}
 	n.mu.Lock()
 	queue := n.handlers[topic]
 	n.mu.Unlock()
--- a/gossip/words.go
+++ b/gossip/words.go
@@ -27,6 +27,8 @@
 	Program     string      `cbor:"7,keyasint,omitempty"`
 	Generation  uint64      `cbor:"8,keyasint,omitempty"`
 	Parts       []string    `cbor:"9,keyasint,omitempty"`
+
+	Whose fleet.Identity `cbor:"10,keyasint,omitzero"` // of the fleet; what an instance from before it does not say
 }
 
 // newDecoding bounds what others send; made at a start, not when the program begins.
@@ -38,12 +40,12 @@
 	return mode
 }
 
-func encodeMember(m fleet.Member) ([]byte, error) {
+func (n *Node) encodeMember(m fleet.Member) ([]byte, error) {
 	state := m.State
 	if state == fleet.Suspect {
 		state = fleet.Alive // no one suspects itself
 	}
-	text, err := cbor.Marshal(word{m.Name, m.Incarnation, m.Word, state, m.Region, m.Zone, m.Program, m.Generation, m.Parts})
+	text, err := cbor.Marshal(word{m.Name, m.Incarnation, m.Word, state, m.Region, m.Zone, m.Program, m.Generation, m.Parts, n.o.Whose})
 	if err == nil && len(text) > metaMost {
 		err = &TooLong{len(text)}
 	}
