A change in stages is held against the plan that it lands on: places, and names where it says them

Cause: settings of classes and tenants lie over a plan by place. A place that the plan has not was passed over in silence, the change counted as taken and was watched as if it did something; where a plan has another order the setting landed on another class.

Evidence: TestChangeForAnotherPlan without the check: "An error is expected but got nil" for Classes.7.Aim on a plan of one class.

At fault: cmd/chalkring/rollout.go, stages.laid and stages.step; Plan.With takes any name.

Change: OtherPlan, told before the restart (the change stops, with its words) and at a start with a kept change. A change file may have `Classes.0.Name` or `Tenants.0.Name` beside a setting: it changes nothing and is held against each plan. That names are put in by the instance that reads the file was weighed and left: the change's digest would differ between programs, and a fleet would stand at `Differs` while it is brought up to date. So without a name an order that differs is not seen.

--- /dev/null
+++ b/cmd/chalkring/places_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"chalkring/coordinator"
+	"chalkring/fault"
+	"chalkring/installation"
+	"chalkring/rollout"
+)
+
+// A change is held against the plan that it lands on: a place that is not there, or that another class has, is refused by name.
+func TestChangeForAnotherPlan(t *testing.T) {
+	plan, err := coordinator.Parse([]byte(zonedPlan))
+	require.NoError(t, err)
+	for _, c := range []struct {
+		settings map[string]string
+		want     string
+	}{
+		{map[string]string{"Classes.0.Aim": "5", "Classes.0.Name": "lookup", "Tenants.0.QuotaPerS": "5"}, ""},
+		{map[string]string{"Classes.7.Aim": "5"}, "Classes.7.Aim the plan has 1 classes, counted from 0"},
+		{map[string]string{"Tenants.1.QuotaPerS": "5"}, "Tenants.1.QuotaPerS the plan has 1 tenants"},
+		{map[string]string{"Classes.0.Aim": "5", "Classes.0.Name": "full-match"}, `Classes.0.Name is "full-match", the plan has "lookup"`},
+	} {
+		st := &stages{state: standing{Runs: &rollout.Change{Number: 4, Settings: c.settings}}}
+		laid, err := st.laid(&installation.File{}, plan)
+		if c.want == "" {
+			require.NoError(t, err)
+			require.NotNil(t, laid)
+			continue
+		}
+		require.ErrorContains(t, err, "change 4 does not fit this plan: "+c.want)
+		require.NotEmpty(t, fault.Advice(err))
+		step := st.step(t.Context(), &rollout.Step{Change: st.state.Runs})
+		require.Equal(t, err, step, "before it restarts for it")
+	}
+}
+
+// A change file may say which class or tenant a setting means.
+func TestChangeFileNamesAPlace(t *testing.T) {
+	text := "name: c\nnumber: 1\nstages: [{share: 1}]\nsettings: {Classes.0.Aim: 5, Classes.0.Name: lookup, Classes.0.Other: x}\n...\n"
+	_, err := rollout.Parse("f", []byte(text))
+	require.ErrorContains(t, err, "Classes.0.Other")
+	require.NotContains(t, err.Error(), "Classes.0.Name")
+}
--- a/cmd/chalkring/rollout.go
+++ b/cmd/chalkring/rollout.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"runtime/metrics"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"chalkring/fault"
 	"chalkring/installation"
 	"chalkring/ledger"
+	"chalkring/residency"
 	"chalkring/rollout"
 )
 
@@ -96,6 +98,7 @@
 	state  standing
 	kept   bool // what the last life promised is known: it ended as it was told to
 	desk   *rollout.Desk
+	site   residency.Site // of the plan
 	sums   sums
 	inside chan net.Conn      // to it from within, past the socket: another process may hold that too
 	own    *coordinator.Keep  // what is kept beside, nil for nothing
@@ -244,10 +247,42 @@
 	return err
 }
 
+// OtherPlan is a change whose settings do not fit this instance's plan.
+type OtherPlan struct {
+	Number  uint64
+	Setting string
+	Why     string
+}
+
+func (e *OtherPlan) Error() string {
+	return fmt.Sprintf("change %d does not fit this plan: %s %s", e.Number, e.Setting, e.Why)
+}
+
+// Advice tells an operator what to do.
+func (e *OtherPlan) Advice() string {
+	return "Give all instances plans with the same classes and tenants in the same order, or take the change back; `Name` beside a setting of a class or tenant says which is meant."
+}
+
+// fits looks whether a change's settings mean what this instance's plan has at their places.
+func (st *stages) fits(c *rollout.Change) error {
+	if c == nil {
+		return nil
+	}
+	wrong := installation.Misplaced(c.Settings, st.site.Classes, st.site.Tenants)
+	for _, name := range slices.Sorted(maps.Keys(wrong)) { // the same fault each time
+		return &OtherPlan{c.Number, name, wrong[name]}
+	}
+	return nil
+}
+
 // laid puts the change that runs over an installation's settings.
 func (st *stages) laid(file *installation.File, plan *coordinator.Plan) (*coordinator.Plan, error) {
 	st.sums.aims = plan.Aims() // both sides are held against the same
+	st.site = plan.Site()
 	c := st.runs()
+	if err := st.fits(c); err != nil {
+		return nil, err
+	}
 	if c == nil {
 		return plan, nil
 	}
@@ -408,6 +443,9 @@
 
 // step has this process followed by one that runs the change.
 func (st *stages) step(ctx context.Context, s *rollout.Step) error {
+	if err := st.fits(s.Change); err != nil {
+		return err
+	}
 	program := os.Getenv(ownEnv)
 	if s.Change != nil && s.Change.Program.Path != "" {
 		program = s.Change.Program.Path
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -47,6 +47,8 @@
 	Fleet      *Fleet          `yaml:"fleet"`
 	Owners     int             `yaml:"owners"` // co-ordinators in the process, one for each core it has; 1 where left out
 	Log        Log             `yaml:"log"`
+
+	doc *strictyaml.Doc // it was read from
 }
 
 // Peers are the co-ordinators that this one learns from, and those it tells.
@@ -155,6 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.doc = doc
 	c := &checker{doc: doc}
 	c.peers(f, dir)
 	c.openSearch(f, dir)
--- a/rollout/change.go
+++ b/rollout/change.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"regexp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,9 @@
 	Back             // who has it goes back to what was before it
 )
 
+// placeName is a setting that changes nothing: which class or tenant those beside it mean. Each instance holds it against its plan.
+var placeName = regexp.MustCompile(`^(Classes|Tenants)\.\d+\.Name$`)
+
 var kinds = map[string]Kind{"": Go, "go": Go, "stop": Stop, "back": Back}
 
 func (k Kind) String() string { return [...]string{"go", "stop", "back"}[k] }
@@ -184,7 +188,7 @@
 	for name, value := range c.Settings {
 		if err := facts.Check(name, value); err != nil {
 			d.Fault("$.settings."+name, "%v", err)
-		} else if !facts.Known(name) {
+		} else if !facts.Known(name) && !placeName.MatchString(name) {
 			d.Fault("$.settings."+name, "no setting that the decision module reads")
 		}
 	}
