The rig launches an instance once its last life has let go of the ports

Cause: a life counts as ended once its leader is reaped, and at the latest a second (WaitDelay) after; what the leader had started is killed with it and ends by itself, later where it is held in a write to a busy disk. It has the client port from the keeper. TestProgramGoesThroughAndBack kills a keeper while its child writes and launches the next at once.

Ruled out: a port that is chosen and released before use and given away meanwhile: ports are below those that the system hands out, and a process holds its slot of them by a listener.

Change: Launch waits up to 10 s until client, fleet and peer port can be listened on, TCP and UDP, and else says which cannot.

--- a/standin/rig/net.go
+++ b/standin/rig/net.go
@@ -19,7 +19,9 @@
 	trickle    = 20 * time.Millisecond  // between two pieces of a stream that trickles
 	portLow    = 12000                  // ports that are given to instances: below those that the system hands out
 	portHigh   = 31000
-	slotSize   = 950             // ports of a process: three rigs of six instances
+	slotSize   = 950              // ports of a process: three rigs of six instances
+	portWithin = 10 * time.Second // for what was killed to let go of its ports: a write to a busy disk takes seconds
+	portEach   = 10 * time.Millisecond
 	dialWait   = 2 * time.Second // for an instance that is stopped or gone
 	udpLongest = 64 << 10
 )
@@ -140,6 +142,39 @@
 	used map[int]bool // by rigs that are open
 }
 
+// letGo waits until ports can be listened on, TCP and UDP. Guards against what an instance had started and is killed with
+// it: it ends by itself, later than the instance while it is held in a write to the disk.
+func letGo(within time.Duration, addrs ...string) error {
+	until := time.Now().Add(within)
+	for _, addr := range addrs {
+		for {
+			err := vacant(addr)
+			if err == nil {
+				break
+			}
+			if time.Now().After(until) {
+				return fmt.Errorf("an earlier life has not let go of its port within %v: %w", within, err)
+			}
+			time.Sleep(portEach)
+		}
+	}
+	return nil
+}
+
+// vacant tells whether an address can be listened on, TCP and UDP.
+func vacant(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	pc, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return err
+	}
+	return pc.Close()
+}
+
 // port finds one that is free for TCP and UDP, and that no outgoing connection and no other rig is given meanwhile.
 func port() (string, error) {
 	ports.Lock()
@@ -160,16 +195,9 @@
 		if ports.used[ports.next] {
 			continue
 		}
-		ln, err := net.Listen("tcp", loopback(ports.next))
-		if err != nil {
-			continue
-		}
-		pc, err := net.ListenPacket("udp", loopback(ports.next))
-		ln.Close()
-		if err != nil {
+		if vacant(loopback(ports.next)) != nil {
 			continue
 		}
-		pc.Close()
 		ports.used[ports.next] = true
 		return loopback(ports.next), nil
 	}
--- /dev/null
+++ b/standin/rig/ports_test.go
@@ -0,0 +1,45 @@
+package rig
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A life whose remains hold its ports for a while after it was killed, as in a write to a slow disk, does not fell the next.
+func TestLaunchWaitsForPorts(t *testing.T) {
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	program, err := Program(ctx)
+	require.NoError(t, err)
+	r, err := New(ctx, Shape{Seed: 1, Program: program, Places: []Place{{Name: "a", Region: "r", Zone: "z"}},
+		Hosts: []Host{{ID: "h", Zone: "z"}}})
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	require.NoError(t, r.Kill(ctx, "a"))
+	const held = 300 * time.Millisecond
+	tcp, err := net.Listen("tcp", r.Wired("a").Client)
+	require.NoError(t, err)
+	udp, err := net.ListenPacket("udp", r.Wired("a").Fleet)
+	require.NoError(t, err)
+	time.AfterFunc(held, func() { tcp.Close() })
+	time.AfterFunc(2*held, func() { udp.Close() })
+	require.NoError(t, r.Start(ctx, "a"))
+	require.NotContains(t, r.Life("a"), "no_start")
+}
+
+// Ports that nobody lets go of are told by their address.
+func TestPortsHeld(t *testing.T) {
+	addr, err := port()
+	require.NoError(t, err)
+	t.Cleanup(func() { freed([]string{addr}) })
+	ln, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer ln.Close()
+	err = letGo(30*time.Millisecond, addr)
+	require.ErrorContains(t, err, "address already in use")
+	require.ErrorContains(t, err, addr)
+}
--- a/standin/rig/rig.go
+++ b/standin/rig/rig.go
@@ -320,7 +320,7 @@
 	return r.Serving(ctx, name)
 }
 
-// Launch starts an instance without waiting for it.
+// Launch starts an instance without waiting for it, once its ports are free.
 func (r *Rig) Launch(name string) error {
 	i, err := r.named(name)
 	if err != nil {
@@ -335,6 +335,11 @@
 	if path == "" {
 		path = r.shape.Program
 	}
+	if _, run, _ := r.last(name); run == nil || run.over() {
+		if err := letGo(portWithin, i.wired.Client, i.wired.Fleet, i.wired.Peer); err != nil {
+			return fmt.Errorf("%s: %w\n%s", name, err, r.Log(name))
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if i.run != nil && !i.run.over() {
