A fleet's store that the process before still holds is tried for again, and let go of however late

Cause: sharing opened its store once, and was without one for its whole life where the process before held it a second longer; and a process that left on a busy disk (over 2 s) never closed the store while it lived on to answer what it held. So after a change in stages the new process could keep nothing. A store that was there late was also written over unread: contracts of a higher generation deleted, and what ran of changes.

At fault: cmd/chalkring/fleet.go openStore and letGo; residency.go save; rollout.go save.

Change: tries each 0.5 s until the instance leaves; the close goes on behind the bound of leaving; contracts are taken in before the first write to a store that comes late; the standing of changes is not written by a life that could not read it.

--- a/cmd/chalkring/fleet.go
+++ b/cmd/chalkring/fleet.go
@@ -20,10 +20,11 @@
 )
 
 const (
-	closeMost   = time.Second      // for what is shared to be on the disk as the instance goes
-	leaveMost   = 2 * time.Second  // for that, the words of leaving, and the store to be let go of
-	lifeWait    = 30 * time.Second // for this life to be on the disk: one that takes longer is stuck
-	lifeSoon    = 2 * time.Second  // that the features wait for it: what a disk that cannot be written holds can be read
+	closeMost   = time.Second            // for what is shared to be on the disk as the instance goes
+	leaveMost   = 2 * time.Second        // for that, the words of leaving, and the store to be let go of
+	lifeWait    = 30 * time.Second       // for this life to be on the disk: one that takes longer is stuck
+	lifeSoon    = 2 * time.Second        // that the features wait for it: what a disk that cannot be written holds can be read
+	openAgain   = 500 * time.Millisecond // between tries for a store that another process holds: one before it that ends
 	fleetBucket = "fleet"
 	lifeKey     = "life"
 	whoseKey    = "whose" // which fleet and customer wrote the store
@@ -187,12 +188,23 @@
 		}
 		return kept
 	}
-	kept, err := store.Open(s.file.Store, store.Options{Told: s.complain})
-	if err != nil {
-		s.complain(err)
-		return nil
+	for told := false; ; told = true {
+		kept, err := store.Open(s.file.Store, store.Options{Told: s.complain})
+		if err == nil {
+			return kept
+		}
+		if s.ctx.Err() == nil && !told {
+			s.complain(err)
+		}
+		if !fault.Is[*store.Busy](err) {
+			return nil
+		}
+		select { // guards against a process before it that is slow to let go: without a store nothing of its changes and contracts holds
+		case <-time.After(openAgain):
+		case <-s.ctx.Done():
+			return nil
+		}
 	}
-	return kept
 }
 
 // leave tells the others that this instance goes on purpose, and lets go of all.
@@ -218,18 +230,21 @@
 	}
 	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		s.work.Wait()
 		<-s.opened
-		close(ended)
+		if s.store == nil || s.keep != nil {
+			return
+		}
+		// Guards against a process that lives on, answering what it holds: whoever follows it needs the file, however late.
+		late, stop := context.WithTimeout(context.Background(), lifeWait)
+		defer stop()
+		if err := s.store.Close(late); err != nil {
+			s.complain(err)
+		}
 	}()
 	select {
 	case <-ended:
-	case <-ctx.Done(): // the disk hangs, and lets go of the file with the process
-		return
-	}
-	if s.store != nil && s.keep == nil {
-		if err := s.store.Close(ctx); err != nil {
-			s.complain(err)
-		}
+	case <-ctx.Done(): // the disk hangs, and lets go of the file when it can, or with the process
 	}
 }
--- /dev/null
+++ b/cmd/chalkring/held_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chalkring/rollout"
+	"chalkring/store"
+)
+
+// A store that the process before still holds is taken once that lets go. Contracts that were kept in it hold from then on,
+// and what it keeps of changes is not written over unread.
+func TestStoreHeldByTheOneBefore(t *testing.T) {
+	t.Parallel()
+	addrs, dir := freeAddrs(t, "a"), t.TempDir()
+	path := filepath.Join(dir, "kept.db")
+	held, err := store.Open(path, store.Options{})
+	require.NoError(t, err)
+	const policy = "00000000000000000002-0"
+	require.NoError(t, held.Put(t.Context(), zonesBucket, map[string][]byte{policy: []byte(contractsTwo)}, nil))
+	a := live(t, dir, "a", addrs, true) // waits for the store as long as a start does
+	st := &stages{sharing: a.s}
+	st.load()
+	require.Contains(t, a.text(), "is held by another process")
+	require.NoError(t, held.Close(t.Context()))
+	select {
+	case <-a.s.opened:
+	case <-time.After(contractsWait):
+		t.Fatal("the store is not taken")
+	}
+	require.NotNil(t, a.s.store)
+	a.eventually("what was kept is in force", func() bool { return a.may("east") && !a.may("west") && a.in.Standing().Generation == 2 })
+	_, found, err := a.s.store.Get(zonesBucket, policy)
+	require.NoError(t, err)
+	require.True(t, found, a.text())
+	st.state.Runs = &rollout.Change{Number: 1}
+	require.Error(t, st.save(), "what it ran before is not known")
+	_, found, err = a.s.store.Get(rolloutBucket, standingKey)
+	require.NoError(t, err)
+	require.False(t, found)
+}
--- a/cmd/chalkring/residency.go
+++ b/cmd/chalkring/residency.go
@@ -13,6 +13,7 @@
 	"chalkring/coordinator"
 	"chalkring/fault"
 	"chalkring/residency"
+	"chalkring/store"
 	"chalkring/watch"
 )
 
@@ -50,6 +51,7 @@
 type contracts struct {
 	s     *sharing
 	site  residency.Site
+	disk  *store.Store // what it keeps is in the book; nil where there is none as yet
 	clock func() int64
 
 	book   residency.Book
@@ -136,8 +138,9 @@
 		}
 		return false
 	}
+	c.disk = c.s.store
 	var faults []error
-	err := c.s.store.Load(zonesBucket, func(key string, value []byte) error {
+	err := c.disk.Load(zonesBucket, func(key string, value []byte) error {
 		p, err := residency.Parse("store "+key, value, residency.Site{})
 		if err != nil {
 			faults = append(faults, err)
@@ -246,13 +249,28 @@
 	c.take(p)
 }
 
+// late takes what was kept in a store that came after the start. Guards against writing over it.
+func (c *contracts) late() {
+	select {
+	case <-c.s.opened:
+	default:
+		return
+	}
+	if c.disk == nil && c.s.store != nil {
+		c.load()
+		c.kept = 0
+		c.s.zones.Put(c.book.Standing(c.lease.Until()))
+	}
+}
+
 // save has what is held written where a kill cannot take it away; until then this instance's word is the one before.
 func (c *contracts) save() {
+	c.late()
 	top, sum := c.book.Generation(), c.sum
 	if c.saving || c.kept == sum {
 		return
 	}
-	if c.s.store == nil {
+	if c.disk == nil {
 		c.saved, c.kept = top, sum
 		return
 	}
@@ -261,7 +279,7 @@
 		puts[fmt.Sprintf("%020d-%d", p.Generation, i)] = p.Text
 	}
 	var old []string
-	err := c.s.store.Load(zonesBucket, func(key string, value []byte) error {
+	err := c.disk.Load(zonesBucket, func(key string, value []byte) error {
 		if text, held := puts[key]; !held {
 			old = append(old, key)
 		} else if string(text) == string(value) {
@@ -277,7 +295,7 @@
 	c.s.work.Go(func() {
 		ctx, stop := context.WithTimeout(c.s.ctx, zonesSave)
 		defer stop()
-		c.done <- saveDone{top, sum, c.s.store.Put(ctx, zonesBucket, puts, old)}
+		c.done <- saveDone{top, sum, c.disk.Put(ctx, zonesBucket, puts, old)}
 	})
 }
 
--- a/cmd/chalkring/rollout.go
+++ b/cmd/chalkring/rollout.go
@@ -96,6 +96,7 @@
 	keeper *os.File
 	ln     net.Listener
 	state  standing
+	missed bool // the store was not there in time: what it keeps is not known, and is left as it is
 	kept   bool // what the last life promised is known: it ended as it was told to
 	desk   *rollout.Desk
 	site   residency.Site // of the plan
@@ -205,6 +206,7 @@
 	select {
 	case <-st.opened:
 	default:
+		st.missed = true
 		return
 	}
 	if st.store == nil {
@@ -231,6 +233,9 @@
 	default:
 		return context.DeadlineExceeded
 	}
+	if st.missed {
+		return context.DeadlineExceeded
+	}
 	if st.store == nil {
 		return &NoStore{}
 	}
