--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -302,6 +302,7 @@
 }
 
 func TestGoodChangeReachesAllStageByStage(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 300, 1)
 	for _, n := range w.nodes {
 		w.start(n, false)
@@ -319,6 +320,7 @@
 // changes that fail and orders that change. While they go on no more than a stage's count restart; after them all
 // instances come to one answer.
 func TestFaultsKeepTheRules(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 24).Draw(t, "instances")
 		w := newWorld(t, n, rapid.Int64().Draw(t, "seed"))
--- a/rollout/worse_test.go
+++ b/rollout/worse_test.go
@@ -120,6 +120,7 @@
 }
 
 func TestErrorRates(t *testing.T) {
+	t.Parallel()
 	const calm, bad = 100, 20
 	_, any, _ := stopped(calm, func(int, int, float64, bool) float64 { return 0 })
 	t.Logf("calm rollouts stopped: %d of %d", any, calm)
