A plan of more than 4 MiB is refused before it is read whole

Cause: a start and each SIGHUP read the file that GW_CONFIG names to its end, held it twice and took it apart, whatever its length: a wrong file at SIGHUP took a process that served well over its memory limit.

TestPlanThatIsTooLong cannot pass without it: such a plan was taken. Ruled out: searches and lists (none ran but one search), the storm itself (1,000 SIGHUP at once are one or two readings). At fault: start.go, Read: os.ReadFile.

Change: no more than 4 MiB is read; PlanTooLong says what to do, and reload_failed tells it. TestHangUpStorm (1,000 SIGHUP over plans that are whole, half, missing, a folder and too long) and TestStopInTheMiddle (SIGHUP, SIGTERM and SIGINT while all replicas hang and a request is half there) hold what was sound before.

--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -3,12 +3,42 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"slices"
 	"strings"
+
+	"chalkring/fault"
 )
 
+// PlanTooLong is a file with more than planMost bytes.
+type PlanTooLong struct{ Path string }
+
+func (e *PlanTooLong) Error() string {
+	return fmt.Sprintf("%s has more than %d bytes", e.Path, planMost)
+}
+
+// Advice tells an operator what to do.
+func (e *PlanTooLong) Advice() string {
+	return "Look whether GW_CONFIG names the plan; a plan with 20,000 known hosts is shorter."
+}
+
+// planText reads a plan's file. Guards against a wrong file at SIGHUP, whose text alone would be over the memory limit.
+func planText(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, planMost+1))
+	if err == nil && len(text) > planMost {
+		err = &PlanTooLong{path}
+	}
+	return text, err
+}
+
 // Reloads reads the plan again at each signal and hands it on, for Means.Plans. One that cannot be read or
 // lacks something changes nothing. The runtime's bounds follow a new plan at once.
 func Reloads(ctx context.Context, first *Plan, signals <-chan os.Signal, env func(string) string,
@@ -26,7 +56,7 @@
 				p, err = p.With(first.over)
 			}
 			if err != nil {
-				out.Error("reload_failed", "error", err)
+				out.Error("reload_failed", fault.Attrs(err)...)
 				continue
 			}
 			// The variable holds over the file only while the file's own address is as it was at the start, or is
--- a/coordinator/restart_moments_test.go
+++ b/coordinator/restart_moments_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chalkring/fault"
 	"chalkring/internal/http1"
 	"chalkring/standin"
 	fleet "chalkring/standin/rig"
@@ -113,9 +114,8 @@
 	})
 }
 
-// over waits for the end and tells how long it took; code is the exit code that it has to have.
-func (l *life) over(code int) time.Duration {
-	began := time.Now()
+// over waits for the end; code is the exit code that it has to have.
+func (l *life) over(code int) {
 	select {
 	case err := <-l.ended:
 		var failed *exec.ExitError
@@ -128,7 +128,6 @@
 	case <-time.After(endsWithin):
 		require.Fail(l.t, "does not end", "%s", l.log)
 	}
-	return time.Since(began)
 }
 
 func (l *life) dial() (net.Conn, *http1.Reader) {
@@ -263,3 +262,112 @@
 	}
 	r.end()
 }
+
+// holding sets all hosts to keep their parts, and tells of each.
+func (l *life) holding() chan asked {
+	held := make(chan asked, 1024)
+	for _, h := range l.hosts {
+		h.Set(func(p asked) { held <- p })
+	}
+	return held
+}
+
+// SIGTERM while replicas hang with parts out, clients are in the middle of a request or take no answer, discovery is silent
+// and signals come again: what was sent has one final answer before the kill, nothing goes out after it, and the process ends.
+func TestStopInTheMiddle(t *testing.T) {
+	l := newLife(t)
+	l.start(nil)
+	l.ready()
+	held := l.holding()
+	type one struct {
+		conn net.Conn
+		rd   *http1.Reader
+	}
+	var open []one
+	for i := range 12 {
+		conn, rd := l.dial()
+		text := strings.Replace(request(fmt.Sprint("h", i), "all", "", fourParts), "X-Deadline: 8.000", "X-Deadline: 3.000", 1)
+		conn.Write([]byte(text))
+		open = append(open, one{conn, rd})
+	}
+	half, halfRd := l.dial()
+	text := request("half", "all", "", fourParts)
+	half.Write([]byte(text[:len(text)/2]))
+	for range 8 { // two of each search are out
+		<-held
+	}
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP} {
+		l.signal(s)
+	}
+	l.logged("event=stopping")
+	half.Write([]byte(text[len(text)/2:]))
+	open = append(open, one{half, halfRd})
+	for i, c := range open {
+		status, _, _, _, err := c.rd.Response()
+		require.NoError(t, err, "connection %d\n%s", i, l.log)
+		require.Contains(t, []int{200, 500, 503}, status)
+		c.conn.Close()
+	}
+	time.Sleep(50 * time.Millisecond)
+	sent := func() (n int) {
+		for _, h := range l.hosts {
+			n += h.Took()
+		}
+		return n
+	}
+	before := sent()
+	l.over(0)
+	require.Equal(t, before, sent())
+}
+
+// A storm of SIGHUP, on plans that are whole, half, missing, a folder or very long, changes nothing but what the last whole
+// one says, and searches go on.
+func TestHangUpStorm(t *testing.T) {
+	l := newLife(t)
+	l.start(nil)
+	l.ready()
+	whole, err := os.ReadFile(l.file)
+	require.NoError(t, err)
+	for i := range 1000 {
+		switch i {
+		case 100:
+			require.NoError(t, os.WriteFile(l.file, whole[:len(whole)/2], 0o600))
+		case 300:
+			require.NoError(t, os.Remove(l.file))
+		case 400:
+			require.NoError(t, os.Mkdir(l.file, 0o700))
+		case 500:
+			require.NoError(t, os.Remove(l.file))
+		case 600:
+			require.NoError(t, os.WriteFile(l.file, bytes.Repeat([]byte(`[`), planMost+1), 0o600))
+		}
+		l.signal(syscall.SIGHUP)
+		if i%100 == 50 {
+			l.served(fmt.Sprint("s", i))
+		}
+	}
+	l.logged("event=reload_failed")
+	l.limit("sockets", 128)
+	l.write()
+	l.signal(syscall.SIGHUP)
+	l.logged("sockets=128")
+	l.served("last")
+	l.signal(syscall.SIGTERM)
+	l.over(0)
+}
+
+// A file that is far too long for a plan is not read to its end, and says what to do.
+func TestPlanThatIsTooLong(t *testing.T) {
+	l := newLife(t)
+	text, err := os.ReadFile(l.file)
+	require.NoError(t, err)
+	env := func(name string) string { return map[string]string{"GW_CONFIG": l.file}[name] }
+	for long, fits := range map[int]bool{planMost: true, planMost + 1: false} {
+		padded := append(bytes.Repeat([]byte(" "), long-len(text)), text...)
+		require.NoError(t, os.WriteFile(l.file, padded, 0o600))
+		_, err := Read(env)
+		var no *PlanTooLong
+		require.Equal(t, !fits, errors.As(err, &no), "%v", err)
+		require.Equal(t, !fits, fault.Advice(err) != "")
+	}
+}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -13,7 +13,6 @@
 	"maps"
 	"math"
 	"net"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -74,6 +73,7 @@
 	doubtTimes   = 4.0                     // or so many times the usual answer: the next call takes another
 	usualCount   = 100.0                   // answers that the usual answer's time rests on
 	doubtMost    = 2                       // connections to a replica passed over for that: a silent replica gets no more
+	planMost     = 4 << 20                 // bytes of a plan, 20,000 hosts: read apart it takes 26 times as much memory
 	differsMost  = 8                       // names of settings in a log line
 	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
 	dialAgain    = 100 * time.Millisecond  // at most, for a connection to come up before another is tried: most take a few
@@ -153,7 +153,7 @@
 	if path == "" {
 		return nil, errors.New("GW_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
+	text, err := planText(path)
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
