No more descriptors are shared out than the system grants

Cause: clients and replicas get their shares of the plan's sockets, whatever limit on open files the process has. Under a lower one clients that only stand there use up all of it: accept fails, no connection to a replica can be opened, and the guard that closes the longest idle client never starts, since its count is far from full.

The process neither ended nor span before either: one accept_failed a second, no processor time. At fault: start and reload.go, Reloads, which took the plan's number as it is.

Change: FitDescriptors, at the start and at SIGHUP; few_descriptors says what to do.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -146,6 +146,7 @@
 		}
 	}
 	plan.Bound()
+	plan.FitDescriptors(log)
 	means := coordinator.Means{Dial: (&net.Dialer{}).DialContext, Clock: coordinator.SystemClock{}, Log: log, Peers: more,
 		Fronts: fronts, Hosts: hosts, Lists: lists, Keep: keep, Residency: zones,
 		Plans: coordinator.Reloads(ctx, plan, hangUps, os.Getenv, log)}
--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"syscall"
 
 	"chalkring/fault"
 )
@@ -39,6 +40,17 @@
 	return text, err
 }
 
+// FitDescriptors takes no more descriptors from the plan than the system lets the process have. Guards against clients
+// that use up all there are: none would be left for replicas.
+func (p *Plan) FitDescriptors(log *slog.Logger) {
+	var most syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &most) == nil && most.Cur < uint64(p.Sockets) {
+		log.Warn("few_descriptors", "sockets", p.Sockets, "limit", most.Cur,
+			"do", "Raise the limit on open files (ulimit -n) to the plan's sockets.")
+		p.Sockets = max(socketsLeast, int(most.Cur))
+	}
+}
+
 // Reloads reads the plan again at each signal and hands it on, for Means.Plans. One that cannot be read or
 // lacks something changes nothing. The runtime's bounds follow a new plan at once.
 func Reloads(ctx context.Context, first *Plan, signals <-chan os.Signal, env func(string) string,
@@ -67,6 +79,7 @@
 				p.Discovery = cmp.Or(p.inFile, read)
 			}
 			p.Bound()
+			p.FitDescriptors(out)
 			last = p
 			select {
 			case plans <- p:
--- a/coordinator/restart_moments_test.go
+++ b/coordinator/restart_moments_test.go
@@ -371,3 +371,19 @@
 		require.Equal(t, !fits, fault.Advice(err) != "")
 	}
 }
+
+// With fewer descriptors than the plan grants, those there are are shared out: idle clients make room, and searches reach
+// their replicas.
+func TestFewerDescriptorsThanPlanned(t *testing.T) {
+	l := newLife(t)
+	l.start(nil, "sh", "-c", `ulimit -n 64; exec "$0"`)
+	l.ready()
+	l.logged("event=few_descriptors")
+	for range 100 {
+		l.dial()
+	}
+	l.served("a")
+	l.signal(syscall.SIGTERM)
+	l.over(0)
+	require.NotContains(t, l.log.String(), "too many open files")
+}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -73,6 +73,7 @@
 	doubtTimes   = 4.0                     // or so many times the usual answer: the next call takes another
 	usualCount   = 100.0                   // answers that the usual answer's time rests on
 	doubtMost    = 2                       // connections to a replica passed over for that: a silent replica gets no more
+	socketsLeast = 16                      // descriptors that a plan has to grant: some for each side and for the list
 	planMost     = 4 << 20                 // bytes of a plan, 20,000 hosts: read apart it takes 26 times as much memory
 	differsMost  = 8                       // names of settings in a log line
 	pastRoom     = 256                     // ids of past parts kept for a connection: some seconds of answers
@@ -191,7 +192,7 @@
 	cores, ok1 := amount(limits["cores"])
 	memory, ok2 := amount(limits["memory_mb"])
 	sockets, ok3 := amount(limits["sockets"])
-	if !ok1 || !ok2 || !ok3 || cores <= 0 || memory < 1 || sockets < 16 {
+	if !ok1 || !ok2 || !ok3 || cores <= 0 || memory < 1 || sockets < socketsLeast {
 		return nil, errors.New("limits: cores, memory_mb and sockets (16 at least) are needed")
 	}
 	p.Cores, p.MemoryMB, p.Sockets = cores, int(memory), int(sockets)
