Settings at places that the plan lacks end the start; a bound is taken in the owner's turn

Two faults of the same hour. An installation's settings at a place that its plan does not have were passed over in silence: File.Fits knew, and nothing called it (cmd/chalkring/main.go, settingsOf and check). Held by TestInstallationForAnotherPlan. And the bound on further connects beside late ones read the number of descriptors outside the owner's goroutine while a new plan wrote it (coordinator/replicas.go, connect): the race detector tells it in TestNewPlanWhileConnectsAreLate without the change. The bound is now worked out in dial, in the owner's turn.

--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -220,6 +220,10 @@
 
 // settingsOf puts an installation's settings over the plan's, and those to be watched beside them.
 func settingsOf(file *installation.File, plan *coordinator.Plan) (*coordinator.Plan, error) {
+	site := plan.Site()
+	if err := file.Fits(site.Classes, site.Tenants); err != nil {
+		return nil, err
+	}
 	plan, err := plan.With(installation.Over(file.Settings))
 	if err != nil || file.Shadow == nil {
 		return plan, err
@@ -350,6 +354,12 @@
 					err = fmt.Errorf("%s: %w", name, err)
 				}
 			}
+			if err == nil && plan != nil {
+				site := plan.Site()
+				if err = file.Fits(site.Classes, site.Tenants); err != nil {
+					err = fmt.Errorf("%s: %w", name, err)
+				}
+			}
 			if err == nil && rolls(file) {
 				err = checkRollout(file)
 			}
--- a/cmd/chalkring/places_test.go
+++ b/cmd/chalkring/places_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -45,3 +47,28 @@
 	require.ErrorContains(t, err, "Classes.0.Other")
 	require.NotContains(t, err.Error(), "Classes.0.Name")
 }
+
+// An installation's settings at a place that its plan does not have are passed over nowhere: neither at the start nor by check,
+// where a plan is among the files.
+func TestInstallationForAnotherPlan(t *testing.T) {
+	plan, err := coordinator.Parse([]byte(zonedPlan))
+	require.NoError(t, err)
+	dir := t.TempDir()
+	good, wrong, site := filepath.Join(dir, "good.yaml"), filepath.Join(dir, "wrong.yaml"), filepath.Join(dir, "plan.json")
+	require.NoError(t, os.WriteFile(good, []byte("settings:\n  Classes.0.Aim: 5\n"), 0o600))
+	require.NoError(t, os.WriteFile(wrong, []byte("settings:\n  Classes.7.Aim: 5\n"), 0o600))
+	require.NoError(t, os.WriteFile(site, []byte(zonedPlan), 0o600))
+	for name, want := range map[string]string{good: "", wrong: "[2:18] settings.'Classes.7.Aim': the plan has 1 classes"} {
+		file, err := installation.Read(name)
+		require.NoError(t, err)
+		_, err = settingsOf(file, plan)
+		checked := (&checkFiles{Files: []string{name, site}}).Run()
+		if want == "" {
+			require.NoError(t, err)
+			require.NoError(t, checked)
+			continue
+		}
+		require.ErrorContains(t, err, want)
+		require.Error(t, checked)
+	}
+}
--- a/coordinator/connect_test.go
+++ b/coordinator/connect_test.go
@@ -72,7 +72,7 @@
 			var mu sync.Mutex
 			var made []*counted
 			g := &errgroup.Group{}
-			o := &owner{g: g, sockets: 100, Means: Means{Clock: SystemClock{}, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			o := &owner{g: g, Means: Means{Clock: SystemClock{}, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 				conn, err := x.ways[dials.Add(1)-1](ctx)
 				if err != nil {
 					return nil, err
@@ -85,7 +85,7 @@
 			}}}
 			ctx, stop := context.WithTimeout(context.Background(), 10*dialAgain)
 			defer stop()
-			conn, err := o.connect(ctx, "x", dialAgain)
+			conn, err := o.connect(ctx, "x", dialAgain, 5)
 			require.NoError(t, g.Wait())
 			require.EqualValues(t, x.dials, dials.Load())
 			require.ErrorIs(t, err, x.fails)
@@ -115,3 +115,32 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
+
+// A new plan that comes while connects are late changes the number of descriptors, which the owner alone may look at: the race
+// detector holds it.
+func TestNewPlanWhileConnectsAreLate(t *testing.T) {
+	var late atomic.Int32
+	r := startIn(t, nil, 256, nil, nil, nil, func(m *Means) {
+		own := m.Dial
+		m.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if late.Add(1) <= 8 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return own(ctx, network, addr)
+		}
+	})
+	c := r.call()
+	c.send(request("q", "all", "", fourParts))
+	for n := 255; ; n-- { // one after another, until further connects have been tried
+		p := *r.plan
+		p.Sockets = n
+		r.plans <- &p
+		if late.Load() > 4 {
+			break
+		}
+	}
+	status, _, _, _ := c.answer()
+	require.Contains(t, []int{200, 503}, status)
+	r.end()
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -67,7 +67,7 @@
 	fronts    int  // others that have not finished
 
 	busy    atomic.Int64              // ns spent in turns
-	beside  atomic.Int64              // second connects that are tried now, or held back
+	beside  atomic.Int64              // further connects that are tried now, or held back
 	endBy   atomic.Pointer[time.Time] // for final answers, once the co-ordinator has been told to end; nil before
 	lastly  atomic.Bool               // each answer ends its connection, as stopMost is over
 	peers   *learner                  // nil where peers are not allowed
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -415,10 +415,11 @@
 		l.fence = o.zones.lapsed
 	}
 	addr, wait := r.addr, o.plan.span("Permissions.DialTimeout")
+	room := max(1, int64(besideShare*float64(o.sockets)))
 	o.g.Go(func() error {
 		end := notUp
 		ctx, stop := context.WithTimeout(l.ctx, wait)
-		conn, err := o.connect(ctx, addr, min(dialAgain, wait/dialParts))
+		conn, err := o.connect(ctx, addr, min(dialAgain, wait/dialParts), room)
 		stop()
 		if endingOf(err) == starved {
 			end = starved
@@ -449,7 +450,7 @@
 // in all. Guards against connections that come up late or never at a replica that is sound: what waits for one would be
 // late with it. Harm: a replica that is silent is asked for three connections in place of one, and until the time to connect
 // is over two more descriptors are used; of many that are silent, besideShare is.
-func (o *owner) connect(ctx context.Context, addr string, wait time.Duration) (net.Conn, error) {
+func (o *owner) connect(ctx context.Context, addr string, wait time.Duration, room int64) (net.Conn, error) {
 	type ended struct {
 		conn net.Conn
 		err  error
@@ -472,7 +473,7 @@
 		select {
 		case <-again:
 			again = nil
-			if beside++; o.beside.Add(1) <= max(1, int64(besideShare*float64(o.sockets))) {
+			if beside++; o.beside.Add(1) <= room {
 				dial()
 			}
 			if beside < dialMost-1 {
