A keeper too waits for an address that the process before still has

Cause: keepUp listened once (cmd/chalkring/keeper.go) where a start without stages tries for 5 s; an overlapping restart of an installation with changes in stages ended with no_start. It calls the same listen now, which TestStartWhileTheAddressIsTaken holds.

--- a/cmd/chalkring/keeper.go
+++ b/cmd/chalkring/keeper.go
@@ -77,14 +77,14 @@
 }
 
 // keepUp serves by children until ctx ends and they have finished.
-func keepUp(ctx context.Context, listen string, hangUps chan os.Signal, log *slog.Logger) error {
+func keepUp(ctx context.Context, address string, hangUps chan os.Signal, log *slog.Logger) error {
 	runtime.LockOSThread() // a child ends with the thread that started it
 	defer runtime.UnlockOSThread()
 	own, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", listen)
+	ln, err := listen(ctx, address, log)
 	if err != nil {
 		return err
 	}
