A fault that some bytes bring out ends their connection, not the process

Cause: only the owner's turns recovered from a panic. One in a goroutine that reads or writes a connection, or in the one that reads discovery, ended the process, and with it every answer that others waited for (coordinator/connections.go, serve; discovery.go, follow).

Change: what reads and writes a connection is contained (logging.go, contain): its end is 'faulty', a part there failed as on a spoilt answer, a list has failed, and the log has the place, once a second at the most.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -50,6 +50,7 @@
 		}
 		c := &client{front: f, link: newLink(o.ctx, clientRoom), conn: conn,
 			answered: make(chan struct{}, 1)}
+		c.log = o.log
 		if !f.gate.enter(c, o.ctx.Done()) {
 			conn.Close()
 			return nil
@@ -67,7 +68,7 @@
 				}
 			})
 			switch end {
-			case slow, garbled, crowded, stuck, displaced:
+			case slow, garbled, crowded, stuck, displaced, faulty:
 				o.log.often("client "+end.Error(), "client_connection_ended", "client", conn.RemoteAddr().String(), "end", end)
 			}
 			return nil
--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -34,10 +34,11 @@
 	retired           // closed here: its replica is gone or moved, or it has gone silent
 	displaced         // closed here: it was longest at rest, and another needed its descriptor
 	closing           // closed here after a last answer, or as the co-ordinator stops
+	faulty            // closed here: what was done with what came has a fault
 )
 
 var endingWords = [...]string{"", "not_up", "starved", "peer_left", "broken", "stuck", "slow", "garbled",
-	"complained", "crowded", "unused", "retired", "displaced", "closing"}
+	"complained", "crowded", "unused", "retired", "displaced", "closing", "faulty"}
 
 func (e ending) Error() string { return endingWords[e] }
 
@@ -55,7 +56,7 @@
 		if !worked {
 			return "ConnectError"
 		}
-	case slow, garbled, complained:
+	case slow, garbled, complained, faulty:
 		if written && first {
 			return "Failed"
 		}
@@ -126,6 +127,8 @@
 
 	fence func() bool // the writer asks it of each parcel that is fenced; nil for none
 
+	log *notes // of faults; nil for none
+
 	behind []behind    // what has to be out before the next message; who puts that sets it
 	ended  atomic.Bool // the writer has
 }
@@ -180,8 +183,8 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	defer conn.Close()
-	g.Go(func() error { return read(ctx) })
-	g.Go(func() error {
+	g.Go(func() error { return l.log.contain(func() error { return read(ctx) }) })
+	write := func() error {
 		var together []*parcel
 		defer l.ended.Store(true)
 		for {
@@ -198,7 +201,8 @@
 				}
 			}
 		}
-	})
+	}
+	g.Go(func() error { return l.log.contain(write) })
 	err := g.Wait()
 	if cause := context.Cause(l.ctx); cause != nil {
 		err = cause // this side ended it: reads and writes failed for that
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -154,7 +154,7 @@
 		failed, next := make(chan error, 1), ""
 		ctx, stop := context.WithCancel(o.ctx)
 		o.g.Go(func() error {
-			failed <- o.watch(ctx, &a, chance)
+			failed <- o.log.contain(func() error { return o.watch(ctx, &a, chance) })
 			return nil
 		})
 		var err error
--- a/coordinator/logging.go
+++ b/coordinator/logging.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,3 +172,16 @@
 		}
 	}
 }
+
+// contain has a panic end what is done on one connection alone. Guards against a fault that some bytes bring out: the process
+// would end, and with it all that others wait for. Harm: what the fault leaves undone stays so.
+func (n *notes) contain(do func() error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			if err = faulty; n != nil {
+				n.often("connection fault", "connection_fault", "error", fmt.Sprint(r), "stack", string(debug.Stack()))
+			}
+		}
+	}()
+	return do()
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -409,6 +409,7 @@
 // dial opens a connection; calls on it wait until it is up.
 func (o *owner) dial(r *replica) *line {
 	l := &line{link: newLink(o.ctx, replicaRoom), r: r, speaks: r.speaks, usedAt: o.now}
+	l.log = o.log
 	r.lines = append(r.lines, l)
 	o.lines++
 	if o.zones != nil {
@@ -566,7 +567,7 @@
 	l.end(end)
 	o.lines--
 	l.r.lines = slices.DeleteFunc(l.r.lines, func(x *line) bool { return x == l })
-	if len(l.subs) > 0 || end == notUp || end == slow || end == garbled {
+	if len(l.subs) > 0 || end == notUp || end == slow || end == garbled || end == faulty {
 		o.log.often("replica "+end.Error(), "replica_connection_ended", "replica", l.r.id, "addr", addr, "end", end,
 			"parts", len(l.subs))
 	}
