Discovery's fall back to the variable stands in one place

Two mends of one fault met: Read takes the variable's address as the file's where the file has none, and Reloads asked for it once more.

--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -73,10 +72,9 @@
 			}
 			// The variable holds over the file only while the file's own address is as it was at the start, or is
 			// left out.
-			read := p.Discovery
 			p.Discovery = last.Discovery
 			if p.inFile != last.inFile {
-				p.Discovery = cmp.Or(p.inFile, read)
+				p.Discovery = p.inFile
 			}
 			p.Bound()
 			p.FitDescriptors(out)
