The fleet is told its plan, in place of reading the file once more

What tells a fleet from others needs the plan's tenants, and read the file of GW_CONFIG a second time at the start for them (cmd/chalkring/fleet.go, identityOf), though main has the plan: twice the work, and two readings may differ where the file is replaced in between. sharingOf takes the plan now; the tests hand theirs over, and their assertions stand.

--- a/cmd/chalkring/fleet.go
+++ b/cmd/chalkring/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"log/slog"
-	"os"
 	"sync"
 	"time"
 
@@ -54,15 +53,15 @@
 
 // sharingOf starts what the section fleet turns on; nil where there is no such section. It waits for no other instance and
 // for no disk.
-func sharingOf(file *installation.File, name string, keep *coordinator.Keep, log *slog.Logger) (*sharing, error) {
+func sharingOf(file *installation.File, plan *coordinator.Plan, keep *coordinator.Keep, log *slog.Logger) (*sharing, error) {
 	if file.Fleet == nil {
 		return nil, nil
 	}
-	own, err := file.Fleet.As(name)
+	own, err := file.Fleet.As(plan.Name)
 	if err != nil {
 		return nil, err
 	}
-	whose := identityOf(own, os.Getenv)
+	whose := fleet.IdentityOf(own.Cluster, plan.Site().Tenants)
 	o := gossip.Options{Whose: whose, Me: fleet.Member{Name: own.Name, Region: own.Region, Zone: own.Zone, Program: built()}, Listed: own.Listed,
 		Listen: own.Listen, Join: own.Join, Via: own.Via, Log: log, Seed: time.Now().UnixNano()}
 	if own.Key != "" {
@@ -86,15 +85,6 @@
 	return s, nil
 }
 
-// identityOf is what this fleet is told from others by: its name, and the tenants of the plan that the process starts with.
-func identityOf(own installation.Fleet, env func(string) string) fleet.Identity {
-	var tenants []string
-	if plan, err := coordinator.Read(env); err == nil { // one that cannot be used has ended the start before
-		tenants = plan.Site().Tenants
-	}
-	return fleet.IdentityOf(own.Cluster, tenants)
-}
-
 // peers are the others that are there now, and all that count.
 func (s *sharing) peers() (alive, listed []string) { return s.book.Others(), s.file.Listed }
 
--- a/cmd/chalkring/main.go
+++ b/cmd/chalkring/main.go
@@ -113,7 +113,7 @@
 		if keep = keepOf(file, plan, log); keep != nil {
 			defer keep.Close()
 		}
-		together, err := sharingOf(file, plan.Name, keep, log)
+		together, err := sharingOf(file, plan, keep, log)
 		if err != nil {
 			return noStart(fmt.Errorf("%s: %w", s.Installation, err))
 		}
--- a/cmd/chalkring/others_fleet_test.go
+++ b/cmd/chalkring/others_fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -11,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chalkring/coordinator"
 	"chalkring/installation"
 	"chalkring/rollout"
 )
@@ -22,16 +22,14 @@
 
 // ofCustomer is an instance of a fleet whose plan has these tenants, beside the store at path.
 func ofCustomer(t *testing.T, path, tenant string, change func(f *installation.Fleet)) *lived {
-	plan := filepath.Join(t.TempDir(), "plan.json")
-	require.NoError(t, os.WriteFile(plan, []byte(strings.Replace(zonedPlan, `{"Name":"acme",`, `{"Name":"`+tenant+`",`, 1)), 0o600))
-	t.Setenv("GW_CONFIG", plan)
+	plan, err := coordinator.Parse([]byte(strings.Replace(zonedPlan, `{"Name":"acme",`, `{"Name":"`+tenant+`",`, 1)))
+	require.NoError(t, err)
 	f := &installation.Fleet{Name: "east-0", Listen: "127.0.0.1:0", Listed: []string{"east-0"}, Store: path}
 	if change != nil {
 		change(f)
 	}
 	l := &lived{t: t}
-	var err error
-	l.s, err = sharingOf(&installation.File{Fleet: f}, "east-0", nil, slog.New(slog.NewTextHandler(l, nil)))
+	l.s, err = sharingOf(&installation.File{Fleet: f}, plan, nil, slog.New(slog.NewTextHandler(l, nil)))
 	require.NoError(t, err)
 	t.Cleanup(l.s.leave)
 	select {
--- a/cmd/chalkring/residency_test.go
+++ b/cmd/chalkring/residency_test.go
@@ -72,7 +72,7 @@
 	if _, err := os.Stat(f.Residency); err != nil {
 		l.file(contractsOne)
 	}
-	l.s, err = sharingOf(&installation.File{Fleet: f}, name, nil, slog.New(slog.NewTextHandler(l, nil)))
+	l.s, err = sharingOf(&installation.File{Fleet: f}, plan, nil, slog.New(slog.NewTextHandler(l, nil)))
 	require.NoError(t, err)
 	l.in, err = contractsOf(plan, l.s)
 	require.NoError(t, err)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -450,7 +450,7 @@
 // connect opens a connection, and tries again beside what is not up each time that it has waited for so long, dialMost times
 // in all. Guards against connections that come up late or never at a replica that is sound: what waits for one would be
 // late with it. Harm: a replica that is silent is asked for three connections in place of one, and until the time to connect
-// is over two more descriptors are used; of many that are silent, besideShare is.
+// is over two more descriptors are used; of many that are silent, room is.
 func (o *owner) connect(ctx context.Context, addr string, wait time.Duration, room int64) (net.Conn, error) {
 	type ended struct {
 		conn net.Conn
