A last answer is looked for after what is awaited; who waits for room is not reset

Found by reading, each where two events cross on a client's connection.

1. clients.go, read: whether the last answer is out was looked at before whether one is awaited. A last answer that went out between the two looks let the request behind it be read after the shutdown and sent on. Shown on a scratch copy with a pause of 5 ms between the two looks: TestRequestBetweenTheLastAnswerAndTheShutdown fails with 'expected: 8, actual: 12' parts; with the looks in this order it passes under the same pause. No conn-level stop fits between the two lines, so without the pause it passes either way. 2. accept, as the listener closes: a wait for room (all clients at work) that lasted over the listener's last 50 ms made the next Accept fail at once, and what stood in the system's queue was reset. Now it closes only once an Accept of 50 ms has brought nothing. TestConnectionsThatWaitForRoomAtTheStop without it: 'connection 9 ... read: connection reset by peer'. 3. The same test showed a third: a newcomer whose request lay unread made room for the next newcomer, as the one longest at rest (Read, displaced): 'connection 11 ... reset'. It is read once, without waiting, first. The read that does not wait goes by Control, since RawConn.Read fails once the connection's limit is over.

Sound, now with tests on real sockets that stop at the moment: a request as its connection closes (unused, displaced, at the stop), an answer half written at SIGTERM, a replica's reset before, inside and behind a frame, the owner's queue full.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -30,9 +30,15 @@
 // accept takes clients' connections in until the listener is closed.
 func (f *front) accept() error {
 	o := f.o
-	for {
+	for taken := false; ; { // some connection, since the listener was last given its time
 		conn, err := o.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // see takeLast
+			// Guards against a wait for room that lasts over that time: the others that have come would be reset.
+			if taken {
+				taken = false
+				o.takeLast()
+				continue
+			}
 			o.Listener.Close()
 			err = net.ErrClosed
 		}
@@ -48,6 +54,7 @@
 			}
 			continue
 		}
+		taken = true
 		c := &client{front: f, link: newLink(o.ctx, clientRoom), conn: conn,
 			answered: make(chan struct{}, 1)}
 		c.log = o.log
@@ -121,6 +128,12 @@
 		case c.over.Load() && !now.Before(c.until):
 			return 0, closing
 		case c.asked.Load() && !c.more.Load(): // what has been read ahead is looked at first
+			// Guards against a newcomer that makes room for the next before its request, which is there, has been read.
+			if c.now != nil {
+				if n, _ := c.now(p); n > 0 {
+					return n, nil
+				}
+			}
 			return 0, displaced
 		case !c.until.IsZero() && now.Before(c.until):
 			c.limit(c.until)
@@ -174,22 +187,21 @@
 		if err := c.rd.Await(); err != nil {
 			return endingOf(err)
 		}
-		if c.over.Load() {
-			c.linger((*buf)[:bufferSize])
-			return closing
-		}
 		if c.awaits() {
 			next := c.ahead
 			if c.o.told() {
 				next = c.inTurn
 			}
-			if err := next(ctx); err != nil {
-				if c.over.Load() {
-					c.linger((*buf)[:bufferSize])
-				}
+			if err := next(ctx); err != nil && !c.over.Load() {
 				return endingOf(err)
 			}
 		}
+		// After what is awaited, since an answer sets it first. Guards against a request that is sent on though it was read
+		// after the shutdown: a last answer may go out between two looks.
+		if c.over.Load() {
+			c.linger((*buf)[:bufferSize])
+			return closing
+		}
 		c.gate.comes(c)
 		if c.until = c.first; c.first.IsZero() {
 			c.until = time.Now().Add(headTime)
@@ -472,13 +484,10 @@
 	}
 	var into []byte
 	var n int
-	read := func(fd uintptr) bool {
-		n, err = syscall.Read(int(fd), into)
-		return true
-	}
+	read := func(fd uintptr) { n, err = syscall.Read(int(fd), into) }
 	return func(p []byte) (int, error) {
 		into = p
-		if ended := raw.Read(read); ended != nil {
+		if ended := raw.Control(read); ended != nil { // not Read, which fails once the connection's limit is over
 			return 0, ended
 		}
 		if n == 0 && err == nil {
--- a/standin/host.go
+++ b/standin/host.go
@@ -96,6 +96,16 @@
 	return ended
 }
 
+// Reset ends all connections with a reset and goes on listening.
+func (h *Host) Reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for conn := range h.open {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
 // Seen gives the parts it got, the ids that were given up, and its connections made and open.
 func (h *Host) Seen() (parts []Part, given []string, conns, open int) {
 	h.mu.Lock()
