A call for lists that fell silent is followed at once; silences of many are spread

Cause: after a silent call the module waited 0.5 to 0.6 s before the next, beside the 1 s that shows the silence; and first calls of co-ordinators that begin together all waited as long, so that a common silence ended for all in one moment and their next calls stood in discovery's queue (discovery.go, follow and watch).

Ruled out: the connection's limit (fails as meant), frames held back (none waits), the list itself (in force as it comes).

Change: the first call after one that fell silent follows at once, whoever asks; the first call of a connection waits between half and all of its time, by chance, as calls after news did. TestSilenceIsAskedAboutAtOnce: without the first '"18.876434495s" is not less than or equal to "18.277s"', without the second '"1" is not greater than "15"' waits.

And a co-ordinator that knows no host asked for changes, with a wait of up to 20 s, so that one silent call at its start kept it from being ready for 21 s; it asks for the whole list now, which fails after 3 s. TestAStartThatKnowsNoHost without it: 'expected "/v1/servers", actual "/v1/servers?index=7&wait=14049"'. TestAListWithoutALength holds what was sound: a list with no length that is reset, also behind its last byte, is none.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -116,7 +116,9 @@
 func (o *owner) follow() error {
 	asked := o.plan.facts["Discovery"] == "subscribe"
 	chance, pause, moved := rand.New(rand.NewSource(o.plan.seed)), askPause, false
-	a := asking{at: o.plan.Discovery, due: time.Now().Add(askLate)}
+	// Who knows no host asks for the list itself. Guards against a first call that is silent: a watch may wait long, and
+	// nothing is served until it has failed.
+	a := asking{at: o.plan.Discovery, due: time.Now().Add(askLate), anew: len(o.plan.knownHosts()) == 0}
 	a.version, _ = amount(o.plan.known["version"])
 	move := func(at string) {
 		a.at, a.anew, a.failed = at, true, false
@@ -133,8 +135,9 @@
 		case <-o.ctx.Done():
 		}
 	}
+	atOnce := false
 	for spread := time.Duration(0); ; {
-		if asked && !moved {
+		if asked && !moved && !atOnce {
 			late := time.NewTimer(a.left()) // guards against waits of the module that take no account of a call that was silent
 			select {
 			case <-o.asks:
@@ -174,6 +177,9 @@
 		}
 		o.log.Warn("list_failed", "discovery", a.at, "version", int64(a.version), "error", err)
 		spread = o.lossSpread(err)
+		// The first call after one that fell silent follows at once. Guards against a wait beside the one that silence took: what
+		// was missed counts as told soon, and discovery takes its time with the calls of all. Those fall silent one by one.
+		atOnce = silence(err) && !a.failed
 		if a.failed = true; a.sound {
 			pause = askPause
 		}
@@ -186,6 +192,9 @@
 			o.post(func() { o.module.ListDone("Error", 0) })
 			continue
 		}
+		if atOnce {
+			continue
+		}
 		p := min(pause, a.left()*2/3)
 		d := p/2 + time.Duration(chance.Int63n(int64(max(p, min(spread, a.left()-p/2)))))
 		pause = min(2*pause, askPauseMost)
@@ -199,11 +208,14 @@
 	return min(watchMost, max(2*watchEach, time.Duration(o.plan.fact("Balancers")*float64(watchEach))))
 }
 
+// silence tells whether a call failed since nothing, or not all of its answer, came in time.
+func silence(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // lossSpread is over how long the next calls of all co-ordinators are spread after a failure. Guards against all that lose
 // discovery at once and come back at once. Silence is no such failure: calls fall silent one by one, and what was missed
 // meanwhile counts as told soon.
 func (o *owner) lossSpread(err error) time.Duration {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if silence(err) {
 		return 0
 	}
 	return min(lossMost, time.Duration(o.plan.fact("Balancers")*float64(lossEach)))
@@ -211,7 +223,7 @@
 
 // watch makes one call after another, until one fails.
 func (o *owner) watch(ctx context.Context, a *asking, chance *rand.Rand) error {
-	for news := false; ; {
+	for together := true; ; { // the next call may begin in the same moment as those of others
 		a.due = time.Now().Add(askLate)
 		up, stop := context.WithTimeout(ctx, watchSlack)
 		conn, err := o.Dial(up, "tcp", a.at)
@@ -229,7 +241,7 @@
 				wait = watchWhole
 			case a.failed: // silence that goes on is to show soon
 				wait = min(wait, 2*watchEach)
-			case news && wait > 2*watchEach: // one change ends the calls of all: the next are to end one by one
+			case together && wait > 2*watchEach: // one change ends the calls of all: the next are to end, or fall silent, one by one
 				wait -= time.Duration(chance.Int63n(int64(wait / 2)))
 			}
 			target := fmt.Sprintf("/v1/servers?index=%.0f&wait=%d", a.version, wait.Milliseconds())
@@ -251,7 +263,8 @@
 				err = o.heardList(body, anew, &a.version)
 			}
 			a.anew = a.anew || errors.Is(err, begunAgain)
-			news = a.version != before
+			news := a.version != before
+			together = news
 			if err == nil && !anew && !news && time.Since(asked) < wait/2 {
 				err = errors.New("nothing new, and no wait") // guards against asking without end
 			}
--- /dev/null
+++ b/coordinator/lists_crossing_test.go
@@ -0,0 +1,118 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/url"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chalkring/internal/http1"
+)
+
+// One that knows no host asks for the whole list, which is answered at once, and not for changes: it would wait long for a call
+// that falls silent, and serve nobody.
+func TestAStartThatKnowsNoHost(t *testing.T) {
+	r := start(t, 256, func(settings map[string]any) { settings["Balancers"] = 300 })
+	plan, other := *r.plan, script(t)
+	plan.known = map[string]any{"version": plan.known["version"], "full": true, "servers": []any{}}
+	plan.Discovery = other.Ln.Addr().String()
+	ln, look, ended := listen(t), make(chan *owner, 1), make(chan error, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	next := &rig{t: t, addr: ln.Addr().String(), log: &journal{}, stop: stop, ended: ended, list: other}
+	go func() {
+		ended <- plan.Serve(ctx, Means{Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{},
+			Log: NewLog(next.log, false, slog.LevelInfo), look: look})
+	}()
+	next.owner = <-look
+	require.Equal(t, "/v1/servers", <-other.Calls) // falls silent
+	began := time.Now()
+	require.Equal(t, "/v1/servers", <-other.Calls)
+	require.Less(t, time.Since(began), 6*time.Second)
+	other.Answers <- "" // to the silent call, whose connection has ended
+	other.Answers <- fmt.Sprintf(`{"version":9,"full":true,"servers":[%s,%s]}`, r.entry("a0", "up"), r.entry("b0", "up"))
+	next.logged("version=9 ")
+	require.Equal(t, "/v1/servers?index=9", strings.SplitN(<-other.Calls, "&", 2)[0])
+	next.call().want("q", "all", 200, wholeOfAll)
+	next.end()
+	r.end()
+}
+
+// A list without a length ends with its connection: shut in good order it counts if it is whole, reset on the way it is none.
+func TestAListWithoutALength(t *testing.T) {
+	for name, x := range map[string]struct {
+		share  int // percent of it that comes
+		resets bool
+		counts bool
+	}{
+		"whole":            {100, false, true},
+		"shut in half":     {50, false, false},
+		"reset in half":    {50, true, false},
+		"reset at its end": {100, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := listen(t)
+			r := start(t, 256, nil)
+			p := *r.plan
+			p.Discovery = ln.Addr().String()
+			r.plans <- &p
+			serve := func(body string, resets bool) string {
+				conn, err := ln.Accept()
+				require.NoError(t, err)
+				rd := http1.NewReader(conn, make([]byte, bufferSize))
+				_, target, _, _, _, err := rd.Request()
+				require.NoError(t, err)
+				conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + body))
+				if resets {
+					time.Sleep(20 * time.Millisecond) // so that what was written is not lost with it
+					reset(conn)
+				}
+				conn.Close()
+				return target
+			}
+			list := fmt.Sprintf(`{"version":9,"full":true,"servers":[%s,%s]}`, r.entry("a0", "up"), r.entry("b0", "up"))
+			require.Equal(t, "/v1/servers", serve(list[:len(list)*x.share/100], x.resets))
+			next := serve(strings.Replace(list, `"version":9`, `"version":10`, 1), false)
+			require.Equal(t, !x.counts, next == "/v1/servers", next)
+			r.logged("version=10 ")
+			require.Equal(t, x.counts, strings.Contains(r.log.String(), "version=9 "))
+			r.end()
+		})
+	}
+}
+
+// A call that falls silent is followed by the next at once, whoever asks, and first calls of many co-ordinators that begin
+// together are to fall silent one by one: discovery takes its time with each.
+func TestSilenceIsAskedAboutAtOnce(t *testing.T) {
+	for _, by := range []string{"subscribe", "automatic"} {
+		waits := map[string]bool{}
+		for seed := range 20 {
+			synctest.Test(t, func(t *testing.T) {
+				d := newLists("silent")
+				f := follow(t, seed, map[string]*lists{"first": d}, func(s map[string]any) { s["Discovery"], s["Balancers"] = by, 300 }, nil)
+				defer f.stop()
+				f.until("the first call falls silent", func() bool { return d.left() == 0 })
+				d.mu.Lock()
+				began, target := d.attempts[0], d.targets[0]
+				d.mu.Unlock()
+				u, err := url.Parse(target)
+				require.NoError(t, err)
+				wait, err := time.ParseDuration(u.Query().Get("wait") + "ms")
+				require.NoError(t, err)
+				waits[target] = true
+				d.tell(9, hosts("10.0.0.2:1"))
+				took := f.told("version=9 ").Sub(began)
+				require.LessOrEqual(t, took, wait+watchSlack+20*time.Millisecond, "%s, seed %d", by, seed)
+				require.GreaterOrEqual(t, wait, watchMost/2)
+			})
+		}
+		require.Greater(t, len(waits), 15)
+	}
+}
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -384,6 +384,12 @@
 	return &own, nil
 }
 
+// knownHosts are the entries of the list as it was last known.
+func (p *Plan) knownHosts() []any {
+	list, _ := p.known["servers"].([]any)
+	return list
+}
+
 // Aims are the times by which answers are in time, by type.
 func (p *Plan) Aims() []time.Duration { return p.spans("Aim") }
 
