Connections from before a replica's start take nothing new once the list tells of it

A replica that has started again at its address, under its own id, went on to be sent parts on the connections to its earlier life (replicas.go, place: only a move or a leave retired them). Where the machine went with a reset they end by themselves; where it went without a word they stand, silent, and each swallows a part until that is found out.

Change: place is told the start that the list has, and retires connections that came up before it; both are in Unix time. What is out on them runs on. TestAHostThatHasStartedAgain without it: 'expected: 2, actual: 1' connections. A list that tells an older start changes nothing.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -46,7 +46,7 @@
 			Zone: word(m["zone"]), Kind: hostKind, Cell: int(cell), State: memberStates[status], Weight: cmp.Or(units, 1),
 			StartedMS: int64(since)}})
 		steps = append(steps, func() {
-			o.place(id, addr, hostKind, gone, status == "cordoned")
+			o.place(id, addr, hostKind, int64(since*10), gone, status == "cordoned")
 			o.module.Entry(id, zone, kind, int(cell), status, units, int64(since*10))
 		})
 	}
@@ -61,7 +61,7 @@
 	if how != "Partial" {
 		for id := range o.fleet {
 			if !present[id] {
-				o.place(id, "", "", true, false)
+				o.place(id, "", "", 0, true, false)
 			}
 		}
 	}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -130,7 +130,7 @@
 			status = "cordoned"
 		}
 		steps = append(steps, func() {
-			o.place(e.ID, e.Addr, e.Kind, false, e.State == members.Draining)
+			o.place(e.ID, e.Addr, e.Kind, e.StartedMS*10, false, e.State == members.Draining)
 			o.module.Entry(e.ID, zone, kind, e.Cell, status, e.Weight, e.StartedMS*10)
 		})
 	}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -627,7 +627,7 @@
 }
 
 // place notes where a replica is; old connections to another address take nothing new.
-func (o *owner) place(id, addr, kind string, gone, drains bool) {
+func (o *owner) place(id, addr, kind string, since int64, gone, drains bool) {
 	r := o.fleet[id]
 	if r == nil {
 		if gone {
@@ -638,8 +638,10 @@
 	}
 	speaks := o.tongueOf(kind)
 	moved := r.addr != addr || r.speaks != speaks
-	if gone || moved {
-		for _, l := range slices.Clone(r.lines) {
+	for _, l := range slices.Clone(r.lines) {
+		// One from before its replica's start leads to a life that is over. Guards against a machine that went without a word:
+		// what is sent to it there is lost.
+		if gone || moved || l.up > 0 && l.up < since {
 			o.retire(l)
 		}
 	}
--- /dev/null
+++ b/coordinator/started_again_test.go
@@ -0,0 +1,37 @@
+package coordinator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A replica that has started again since a connection to it came up, as the list says, gets what follows on a new one: the old
+// one may lead to a life that is over, of a machine that went without a word.
+func TestAHostThatHasStartedAgain(t *testing.T) {
+	r := start(t, 256, nil)
+	<-r.list.Calls
+	c := r.call()
+	c.want("first", "all", 200, wholeOfAll)
+	r.list.Answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry("a1", "draining"))
+	r.logged("version=8 ")
+	c.want("second", "all", 200, wholeOfAll) // by a0
+	conns := func() int { _, _, n, _ := r.replicas["a0"].Seen(); return n }
+	before := conns()
+	time.Sleep(2 * time.Millisecond) // so that the start is after its connections
+	tell := func(version int, started time.Time) {
+		r.list.Answers <- fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`, version,
+			strings.Replace(r.entry("a0", "up"), `"started_ms":0`, fmt.Sprintf(`"started_ms":%d`, started.UnixMilli()), 1))
+		r.logged(fmt.Sprintf("version=%d ", version))
+	}
+	tell(9, time.Now())
+	c.want("third", "all", 200, wholeOfAll)
+	require.Equal(t, before+1, conns())
+	tell(10, time.Now().Add(-time.Minute)) // a start from before leaves it
+	c.want("fourth", "all", 200, wholeOfAll)
+	require.Equal(t, before+1, conns())
+	r.end()
+}
