Where no copies are allowed, a given-up sub-request ends when its replica can know of it

Cause: the module heard of the end of a sub-request that it had called off in the next turn (replicas.go, giveUp and ended), and sent a further one at once. Its cancel frame may not have arrived, or never arrives: on a connection that has fallen silent neither it nor our close does. To the replicas the part is then out twice.

Ruled out: refusals (answered, then sent again), spoilt answers (errors), the connection's tries (one of three is used), the time told.

Change: where copies are not allowed the end of a written sub-request is told once something was heard on its connection behind the cancel frame, or the other side ended the connection, or the time that the replica was told is over, or its search has ended. It is no decision: until then it is not over. Where copies are allowed nothing changes. Harm: a part at a replica that hangs waits for the end of its time.

TestGivenUpWhereNoCopiesAre without it: 'Should be empty, but was ...' in four of its five cases, two when told as the cancel frame is out, one when our own close counts.

And a keyed part's repeat whose window ends between the decision and its write was written all the same (load): its writer looks at the time where it is begun, takes it back and has the module told that it was never sent. TestRepeatsLeaveWithinTheirWindow without it: 'expected: 3, actual: 2'. TestTenantsOnOneConnection and TestClientLeavesUnderADial hold what was sound.

--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -67,6 +67,17 @@
 	return "Ignored"
 }
 
+// certain tells whether a connection's end leaves no doubt that what was out on it is over for the other side too: that
+// side has ended it, or had just been heard as this side did. Our own end of a connection that has fallen silent does not
+// arrive.
+func (e ending) certain() bool {
+	switch e {
+	case notUp, peerLeft, broken, garbled, complained, faulty:
+		return true
+	}
+	return false
+}
+
 // endingOf names what reading met.
 func endingOf(err error) ending {
 	var e ending
@@ -103,10 +114,12 @@
 
 // parcel is one message on its way to a socket.
 type parcel struct {
-	b      *[]byte
-	last   bool // the connection ends after it
-	fenced bool // it may not be begun once the link's fence is up
-	stage  atomic.Int32
+	b       *[]byte
+	last    bool // the connection ends after it
+	fenced  bool // it may not be begun once the link's fence is up
+	limited bool // it may not be begun after a time that the link knows
+	cancels bool // it tells a replica that a sub-request is given up
+	stage   atomic.Int32
 }
 
 const (
@@ -125,7 +138,10 @@
 	end     context.CancelCauseFunc
 	ctx     context.Context
 
-	fence func() bool // the writer asks it of each parcel that is fenced; nil for none
+	fence  func() bool     // the writer asks it of each parcel that is fenced; nil for none
+	clock  func() int64    // and for the time where one is limited; nil for none
+	limits sync.Map        // of those that are: until when each may be begun
+	missed func(p *parcel) // is told of each for which it was, and that was taken back
 
 	log *notes // of faults; nil for none
 
@@ -160,6 +176,12 @@
 	}
 }
 
+// late tells whether the time of a limited parcel to be begun is over; asked once of each.
+func (l *link) late(p *parcel) bool {
+	by, _ := l.limits.LoadAndDelete(p)
+	return l.clock() > by.(int64)
+}
+
 func newLink(ctx context.Context, room int) *link {
 	l := &link{backlog: make(chan *parcel, room)}
 	l.ctx, l.end = context.WithCancelCause(ctx)
@@ -220,8 +242,11 @@
 		*room = all[:0]
 	}()
 	for size := 0; p != nil; {
-		if p.fenced && l.fence() { // guards against a process that was stopped and goes on where it was
+		switch { // guards against a process that was stopped and goes on where it was, and a socket that took nothing for a while
+		case p.fenced && l.fence():
 			p.recall()
+		case p.limited && l.late(p) && p.recall():
+			l.missed(p)
 		}
 		if p.stage.CompareAndSwap(queued, begun) { // next to the write: what was begun may be out
 			size += len(*p.b)
--- /dev/null
+++ b/coordinator/given_up_test.go
@@ -0,0 +1,236 @@
+package coordinator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chalkring/logic"
+)
+
+// puppet stands in the module's place: it decides nothing, and keeps what it is told.
+type puppet struct {
+	logic.Coordinator
+	r        *rig
+	searches chan [2]uint64 // ids of a search and of its first part
+	last     uint64
+	outcomes chan string
+	asked    func(id uint64, qtype, tenant int, key string, grace int64, retry bool) // may be nil
+}
+
+func (p *puppet) Search(id uint64, qtype, tenant int, key string, grace int64, _ uint64, _ int, retry bool) {
+	if p.last = id; p.asked != nil {
+		p.asked(id, qtype, tenant, key, grace, retry)
+	}
+}
+func (p *puppet) Part(id, number uint64, shard int, _ float64) {
+	if p.last == number && shard == 0 {
+		p.searches <- [2]uint64{number, id}
+	}
+}
+func (p *puppet) Outcome(_ uint64, _ int, ending string, _ int64, _ bool, _ map[string]float64) {
+	p.outcomes <- ending
+}
+func (*puppet) Clock(int64)                                         {}
+func (*puppet) EndOfBatch()                                         {}
+func (*puppet) Held(float64)                                        {}
+func (*puppet) Withdrawn(uint64)                                    {}
+func (*puppet) Timer(uint64)                                        {}
+func (*puppet) ListDone(string, int64)                              {}
+func (*puppet) Entry(string, int, int, int, string, float64, int64) {}
+
+// puppet puts one in the module's place.
+func (r *rig) puppet() *puppet {
+	p := &puppet{r: r, searches: make(chan [2]uint64, 1024), outcomes: make(chan string, 1024)}
+	r.inTurn(func(o *owner) { o.module = p })
+	return p
+}
+
+// told waits for the next outcome.
+func (p *puppet) told(want string) {
+	select {
+	case got := <-p.outcomes:
+		require.Equal(p.r.t, want, got)
+	case <-time.After(patience):
+		require.Fail(p.r.t, "no outcome", want)
+	}
+}
+
+// untold asks for a turn, behind which no outcome may have been told.
+func (p *puppet) untold() {
+	for range 3 {
+		p.r.inTurn(func(*owner) {})
+	}
+	require.Empty(p.r.t, p.outcomes)
+}
+
+const onePart = `{"ranges":[{"range":0,"portion":1}],"predicate":"what"}`
+
+// Where no part may be out twice at once, the module hears of the end of a sub-request that is given up, and so may send a
+// further one, only when its replica can be taken to know: not as the cancel frame is written, nor as the connection is closed
+// on this side, for on one that has fallen silent neither arrives. Where copies are allowed it hears at once.
+func TestGivenUpWhereNoCopiesAre(t *testing.T) {
+	for name, x := range map[string]struct {
+		copies bool
+		then   func(r *rig, hold chan asked, p *puppet, part uint64, l *line)
+	}{
+		"copies are allowed": {true, func(*rig, chan asked, *puppet, uint64, *line) {}},
+		"heard behind the cancel frame": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
+			a := <-hold
+			r.eventually("the cancel frame has come", func() bool { return r.given() == 1 })
+			p.untold()
+			a.Reply("later", "-", "") // of the one that was given up: dropped
+		}},
+		"the other side resets it": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
+			<-hold
+			p.untold()
+			r.replicas["a0"].Reset()
+		}},
+		"closed on this side, its time over": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
+			r.inTurn(func(*owner) { l.cut(retired) })
+			r.eventually("it has ended", func() (ended bool) {
+				r.inTurn(func(o *owner) { ended = len(o.fleet["a0"].lines) == 0 })
+				return ended
+			})
+			p.untold()
+		}},
+		"its search ends": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
+			p.untold()
+			r.inTurn(func(o *owner) { o.Error(o.parts[part].s.id) })
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := crossed(t, 256, func(settings map[string]any) {
+				settings["Permissions"].(map[string]any)["SecondCopies"] = x.copies
+			}, nil, nil, nil)
+			p, hold := r.puppet(), make(chan asked, 8)
+			r.replicas["a0"].Set(func(a asked) { hold <- a })
+			c := r.call().send(strings.Replace(request("q", "all", "", onePart), "8.000", "2.000", 1))
+			part := (<-p.searches)[1]
+			r.inTurn(func(o *owner) { o.Send(part, "a0", 0) })
+			var l *line
+			r.eventually("it is out", func() bool {
+				r.inTurn(func(o *owner) { l = o.fleet["a0"].lines[0] })
+				return r.replicas["a0"].Took() == 1
+			})
+			r.inTurn(func(o *owner) { o.Cancel(part, 0) })
+			x.then(r, hold, p, part, l)
+			p.told("Canceled")
+			r.inTurn(func(o *owner) {
+				if s := o.parts[part]; s != nil {
+					o.Error(s.s.id)
+				}
+			})
+			status, _, _, _ := c.answer()
+			require.Equal(t, 500, status)
+			r.end()
+		})
+	}
+}
+
+// A keyed part's repeat that a connection's writer comes to after its window is over does not leave, and the module hears that
+// it was never sent.
+func TestRepeatsLeaveWithinTheirWindow(t *testing.T) {
+	for late, want := range map[bool]int32{false: written, true: called} {
+		var told []string
+		o, l, s := oneOut(written)
+		now := int64(1000)
+		o.keyed, o.windows, o.module, o.copies, o.now = []bool{true}, []int64{3000}, deaf{told: &told}, true, now
+		o.ctx, o.queue = t.Context(), make(chan func(), 4)
+		l.up, l.clock = 1, func() int64 { return now }
+		l.missed = func(p *parcel) { o.post(func() { o.tooLate(l, p) }) }
+		p := s.parts[0]
+		p.subs[0].sent, p.subs[0].r = now, l.r
+		o.Cancel(p.id, 0)
+		c := &call{line: l}
+		sub := &subRequest{p: p, leg: 1, name: "q.0", call: c, due: 50_000, r: l.r}
+		c.subs, l.subs, p.subs = []*subRequest{sub}, []*subRequest{sub}, append(p.subs, sub)
+		p.untold, l.calls = p.untold+1, 1
+		now += 2900
+		o.now = now
+		o.load(c)
+		if late {
+			now += 90 // 10 ms before its end, less what is kept for its way
+		}
+		var out strings.Builder
+		<-l.backlog // the cancel frame
+		require.NoError(t, l.write(writes{to: &out}, <-l.backlog, new([]*parcel), func(*parcel) error { return nil }))
+		require.Equal(t, want, c.parcel.stage.Load(), "late: %t", late)
+		require.Equal(t, !late, out.Len() > 0)
+		if late {
+			(<-o.queue)()
+			require.Equal(t, "Ignored", o.next[len(o.next)-1].outcome)
+			require.Empty(t, l.subs)
+		}
+	}
+}
+
+// A part whose client leaves while it waits for a connection that is not up does not go out once that is.
+func TestClientLeavesUnderADial(t *testing.T) {
+	r, let := startGated(t, nil)
+	c := r.call().send(request("q", "all", "", fourParts))
+	r.eventually("parts wait", func() bool { return r.waiting("a0")+r.waiting("a1") >= 2 })
+	id := "a0"
+	if r.waiting(id) == 0 {
+		id = "a1"
+	}
+	c.Close()
+	r.eventually("its client has left", func() bool { return r.open() == 0 })
+	let(id)
+	r.eventually("the connection is up", func() bool { return r.up(id) })
+	r.call().send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").answer() // a turn and its writes are over
+	require.Zero(t, r.replicas[id].Took())
+	r.end()
+}
+
+// Two tenants and classes on one connection, their requests in pieces one after another: each has its own limits, time, mark
+// and effect, and a field that a request lacks is not the one before's.
+func TestTenantsOnOneConnection(t *testing.T) {
+	r := start(t, 256, nil)
+	p := r.puppet()
+	type one struct {
+		qtype, tenant int
+		key           string
+		grace         int64
+		retry         bool
+	}
+	got := make(chan one, 64)
+	p.asked = func(_ uint64, qtype, tenant int, key string, grace int64, retry bool) {
+		got <- one{qtype, tenant, key, grace, retry}
+	}
+	c := r.call()
+	for i := range 30 {
+		class, tenant, key := i%3, i%2, fmt.Sprintf("%016x", i)
+		name := []string{"some", "all", "deep"}[class]
+		seconds := 1 + i%7
+		head := ""
+		if i%4 == 0 {
+			head = "X-Retry: 1\r\n"
+		}
+		if i%5 == 0 {
+			key = ""
+		}
+		text := request(fmt.Sprint("q", i), name, head, onePart)
+		text = strings.Replace(text, "X-Tenant: acme", "X-Tenant: "+[]string{"acme", "other"}[tenant], 1)
+		text = strings.Replace(text, "X-Deadline: 8.000", fmt.Sprintf("X-Deadline: %d", seconds), 1)
+		if text = strings.Replace(text, "?k=7f", "?k="+key, 1); key == "" {
+			text = strings.Replace(text, "?k=", "", 1)
+		}
+		for at, step := 0, 1+i*13%97; at < len(text); at += step {
+			c.send(text[at:min(len(text), at+step)])
+		}
+		id := (<-p.searches)[0]
+		a := <-got
+		require.Equal(t, one{class, tenant, key, a.grace, i%4 == 0}, a, "request %d", i)
+		require.LessOrEqual(t, a.grace, int64(seconds)*10_000)
+		require.Greater(t, a.grace, int64(seconds-1)*10_000, "request %d", i)
+		r.inTurn(func(o *owner) { o.Shed(id, 0) })
+		status, _, _, _ := c.answer()
+		require.Equal(t, 503, status)
+	}
+	r.end()
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -35,9 +35,11 @@
 	asks   chan struct{} // subscriptions that the module asked for
 	moves  chan string   // where discovery is from now on
 
-	blocks, streams, perCall, maxAttempts int    // of the settings, read once
-	keyed                                 []bool // by type: replicas drop a repeat while they remember
-	followUps                             []int  // parts of the second step, by type; 0 where there is none
+	blocks, streams, perCall, maxAttempts int     // of the settings, read once
+	keyed                                 []bool  // by type: replicas drop a repeat while they remember
+	copies                                bool    // a part may be out twice at once
+	windows                               []int64 // by type: how long they do
+	followUps                             []int   // parts of the second step, by type; 0 where there is none
 
 	start     time.Time
 	base      int64 // Unix time of start in tenths of a millisecond
@@ -51,6 +53,7 @@
 	spareNext []event                // room for the one after it
 	armed     <-chan time.Time       // that the owner waits for, at or before the next wake
 	armedAt   int64
+	lingering map[*subRequest]*lingering // given up here, and the module not told
 	lastID    uint64
 	searches  map[uint64]*search
 	names     map[string]bool // of the searches
@@ -487,6 +490,9 @@
 	}
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
+			if g := o.lingering[sub]; g != nil {
+				o.over(g)
+			}
 			if sub.call == nil {
 				continue
 			}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -33,6 +33,8 @@
 	past   map[string]uint64 // ids that were on it, with their searches: their answers may still come
 	aged   []string          // the same; once there are pastRoom, the oldest is at eldest
 	eldest int
+
+	lingering []*lingering // on it
 }
 
 // call is what travels as one frame.
@@ -130,18 +132,73 @@
 		}
 	} else {
 		o.leave(sub)
-		l.speaks.cancel(l, sub)
+		said := l.speaks.cancel(l, sub)
 		// Nothing is sent after the final answer: a frame given up before it may still be on its way out.
 		if b, s := (behind{l.link, c.parcel}), sub.p.s; !s.over && !b.out() {
 			s.begun = append(s.begun, b)
 		}
+		if o.lingers(sub) {
+			o.linger(l, sub, outcome, said)
+			outcome = ""
+		}
 	}
 	// Guards against a machine that went silent: its open connection would swallow part after part. One new
 	// connection tells more than the old one: it comes up or does not.
 	if l != nil && l.heard < sub.sent && o.now-sub.sent > o.silence() {
 		o.retire(l)
 	}
-	o.laterLanded(sub, outcome)
+	if outcome != "" {
+		o.laterLanded(sub, outcome)
+	}
+}
+
+// lingering is a sub-request that this side waits for no longer, while its replica may not know so yet.
+type lingering struct {
+	sub     *subRequest
+	outcome string  // empty once the module has been told
+	said    *parcel // the cancel frame; nil where the connection's end has to say it
+	saidAt  int64   // when that was known to be out, 0 before
+	wake    wake
+}
+
+// lingers tells whether a sub-request that this side gives up may be out all the same, where no part may be out twice.
+func (o *owner) lingers(sub *subRequest) bool {
+	return !o.copies && !sub.p.over() && o.now < sub.due
+}
+
+// linger keeps the end of a sub-request from the module until its replica can be taken to know it: something was heard on
+// its connection after the cancel frame was out, the other side ended the connection, or the time that the replica was told
+// is over. Guards against a second copy: on a connection that has fallen silent neither a cancel frame nor our close
+// arrives, and on any other a further sub-request may overtake it. Harm: of a replica that hangs nothing is heard either,
+// and the part waits for the end of its time.
+func (o *owner) linger(l *line, sub *subRequest, outcome string, said *parcel) {
+	g := &lingering{sub: sub, outcome: outcome, said: said}
+	l.lingering = append(l.lingering, g)
+	o.lingering[sub] = g
+	o.await(&g.wake, sub.due-o.now, doing(func() { o.over(g) }))
+}
+
+// over tells the module of one that lingered.
+func (o *owner) over(g *lingering) {
+	if g.outcome == "" {
+		return
+	}
+	o.unwake(&g.wake)
+	o.laterLanded(g.sub, g.outcome)
+	g.outcome = ""
+	delete(o.lingering, g.sub)
+}
+
+// known tells the module of those on a connection whose replicas can be taken to know by now; of all where it is certain.
+func (o *owner) known(l *line, certain bool) {
+	l.lingering = slices.DeleteFunc(l.lingering, func(g *lingering) bool {
+		if g.saidAt == 0 && g.said != nil && g.said.stage.Load() == written {
+			g.saidAt = o.now
+		} else if certain || g.saidAt > 0 && l.heard > g.saidAt {
+			o.over(g)
+		}
+		return g.outcome == ""
+	})
 }
 
 // takeBack takes a sub-request off its call if no byte of that has been begun; the rest goes without it.
@@ -291,6 +348,10 @@
 		p = &parcel{}
 	}
 	p.b, p.fenced, c.parcel = b, fenced, p
+	if by := o.repeatBy(c.subs[0]); by > 0 {
+		p.limited = true
+		c.line.limits.Store(p, by)
+	}
 	c.line.usedAt = o.now
 	c.line.put(c.parcel)
 }
@@ -357,6 +418,27 @@
 	return 0
 }
 
+// repeatBy is until when a keyed part's repeat may leave: the decision for it, and what this side holds it back, may lie on
+// both sides of the end of its window. 0 for what is no repeat.
+func (o *owner) repeatBy(sub *subRequest) int64 {
+	since := o.firstSent(sub)
+	if since == 0 {
+		return 0
+	}
+	return since + max(1, o.windows[sub.p.s.qtype]-int64(windowPad/tenth))
+}
+
+// tooLate tells the module of a call whose time to leave was over before its connection's writer came to it: none of it
+// was sent.
+func (o *owner) tooLate(l *line, p *parcel) {
+	for _, sub := range slices.Clone(l.subs) {
+		if sub.call != nil && sub.call.parcel == p {
+			o.leave(sub)
+			o.laterLanded(sub, "Ignored")
+		}
+	}
+}
+
 // together tells whether a sub-request may be on one connection with those of a call.
 func (o *owner) together(subs []*subRequest, sub *subRequest) bool {
 	return len(subs) == 0 || o.firstSent(sub) == o.firstSent(subs[0])
@@ -409,7 +491,8 @@
 // dial opens a connection; calls on it wait until it is up.
 func (o *owner) dial(r *replica) *line {
 	l := &line{link: newLink(o.ctx, replicaRoom), r: r, speaks: r.speaks, usedAt: o.now}
-	l.log = o.log
+	l.log, l.clock = o.log, o.clock
+	l.missed = func(p *parcel) { o.post(func() { o.tooLate(l, p) }) }
 	r.lines = append(r.lines, l)
 	o.lines++
 	if o.zones != nil {
@@ -428,7 +511,12 @@
 		if err == nil {
 			o.post(func() { o.rise(l) })
 			end = l.serve(conn, wait, func(context.Context) error { return l.speaks.hear(o, l, conn) },
-				func(*parcel) error { return nil })
+				func(p *parcel) error {
+					if p.cancels && !o.copies {
+						o.post(func() { o.known(l, false) })
+					}
+					return nil
+				})
 		}
 		o.post(func() { o.ended(l, end, addr) })
 		return nil
@@ -525,6 +613,9 @@
 func (o *owner) answer(l *line, id []byte, outcome string, score []byte, report map[string]float64,
 	value []byte, read any) {
 	l.heard = o.now
+	if len(l.lingering) > 0 {
+		o.known(l, false)
+	}
 	sub := find(l.subs, string(id))
 	if sub == nil {
 		if _, known := l.past[string(id)]; !known {
@@ -574,17 +665,23 @@
 	// All are taken off before the first is told. Guards against what the module does on hearing of one: it may
 	// call off others that were on this connection, whose end has come too.
 	var tell []func()
+	certain := end.certain()
 	first := true // of those that were written
 	for _, sub := range slices.Clone(l.subs) {
 		out := sub.call.parcel.stage.Load() == written
 		outcome := end.outcome(out, first, l.heard > 0)
 		first = first && !out
 		o.leave(sub)
+		if out && !certain && o.lingers(sub) {
+			o.linger(l, sub, outcome, nil)
+			continue
+		}
 		tell = append(tell, func() { o.landed(sub, outcome, nil) })
 	}
 	for _, do := range tell {
 		do()
 	}
+	o.known(l, certain)
 	o.forget(l.r)
 }
 
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -80,6 +80,7 @@
 	dialAgain    = 100 * time.Millisecond  // at most, for a connection to come up before another is tried: most take a few
 	dialParts    = 5                       // or this part of the time to connect: the last try has over half of it left
 	dialMost     = 3                       // connects for one connection: of those that come late one in three, one in 27 waits
+	windowPad    = 2 * time.Millisecond    // kept off the window of repeats where they leave: their way to the replica
 	silentDials  = 2                       // times the time to connect without a word: the connection is doubted
 	weightSlack  = 0.01                    // that weights may miss 1 by: rounding of a hundred parts
 	wordsMost    = 200                     // bytes of a replica's words in a log line
@@ -438,7 +439,8 @@
 	defer stop()
 	o := &owner{plan: p, Means: m, log: newNotes(m.Clock, m.Log.Handler()), g: g, ctx: work, queue: make(chan func(), queueRoom),
 		start: m.Clock.Now(), searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, timers: map[uint64]*moduleWake{},
-		fleet: map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
+		lingering: map[*subRequest]*lingering{},
+		fleet:     map[string]*replica{}, asks: make(chan struct{}, 1), moves: make(chan string), sockets: p.Sockets,
 		blocks: p.Blocks(), streams: int(p.fact("Permissions.StreamsPerConn")), perCall: int(p.fact("Specifics.PerCall")),
 		maxAttempts: int(p.fact("Permissions.MaxAttempts")), clients: map[*link]bool{},
 		room: p.room()}
@@ -446,7 +448,9 @@
 		v, _ := strconv.ParseFloat(p.list("Specifics.FollowUp")[i], 64)
 		o.followUps = append(o.followUps, int(v))
 		o.keyed = append(o.keyed, p.facts[fmt.Sprintf("Classes.%d.Effect", i)] == "dedup")
+		o.windows = append(o.windows, int64(p.span(fmt.Sprintf("Classes.%d.RepeatWindow", i))/tenth))
 	}
+	o.copies = p.facts["Permissions.SecondCopies"] == "true" || p.facts["Permissions.SecondCopies"] == "1"
 	o.base = o.start.UnixMicro() / 100
 	f := &front{o: o, gate: newGate(int(clientShare * float64(p.Sockets))), classes: p.names("Classes"), tenants: p.names("Tenants"), stopping: stopping}
 	if o.module = logic.New(o); p.next != nil {
