A process that was held up looks for what came meanwhile before it sends anything on

Cause: after a hold-up (a stopped process, a machine that pauses) wakes are due at once and slots come free with the first leaves that are read, while most of what clients, replicas and discovery did still lies in sockets (owner.go, turn): parts went out for clients that had left long before.

Seen with the built program: 24 clients ask, all hosts are silent, the process is stopped, the clients close, it goes on 0.4 to 1.4 s later.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"chalkring/internal/http1"
 )
 
@@ -454,7 +456,7 @@
 		return err
 	}
 	s.reply = func(r result) { c.answer(r, keep) }
-	c.search = s
+	c.search, s.client = s, c
 	o.post(func() { o.take(s) })
 	return nil
 }
@@ -472,6 +474,25 @@
 	return nil // there is nothing more, or it is not known
 }
 
+// gone tells whether the client has ended its side of the connection, as far as the system knows.
+func (c *client) gone() bool {
+	there, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := there.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(at, 0)
+		ended = err == nil && n > 0 && at[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return ended || err != nil // it is closed here
+}
+
 // atOnce gives a read of a connection that does not wait, made once for all its requests; nil where there is none.
 func atOnce(conn net.Conn) func(p []byte) (int, error) {
 	there, ok := conn.(syscall.Conn)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -53,6 +53,8 @@
 	spareNext []event                // room for the one after it
 	armed     <-chan time.Time       // that the owner waits for, at or before the next wake
 	armedAt   int64
+	pulse     pulse
+	caughtUp  int64                      // when it last was
 	lingering map[*subRequest]*lingering // given up here, and the module not told
 	lastID    uint64
 	searches  map[uint64]*search
@@ -99,6 +101,7 @@
 	shards        []int
 	weights       []float64
 	reply         func(r result)
+	client        *client                                    // who waits for it; nil on other fronts
 	check         func(shard int, value []byte) (any, error) // what a value has to pass to be in; nil for none
 
 	id    uint64
@@ -292,7 +295,13 @@
 			at := o.wakes.list[0].at
 			wait := at - o.clock()
 			if wait <= 0 {
-				o.turn(nil)
+				if first := o.wakes.list[0]; first == &o.pulse.wake && -wait < int64(heldUp/tenth) {
+					o.now = max(o.now, o.clock())
+					heap.Pop(&o.wakes)
+					o.pulse.awake(o) // alone it is no turn
+				} else {
+					o.turn(nil)
+				}
 				continue
 			}
 			if o.armed == nil || at < o.armedAt { // one that comes early does no harm: most wakes are taken back
@@ -316,6 +325,7 @@
 
 // turn is one turn of the module: all that is queued by now, the wakes that are due, EndOfBatch.
 func (o *owner) turn(first func()) {
+	late := o.catchUp()
 	began := time.Now()
 	defer func() { o.busy.Add(int64(time.Since(began))) }()
 	o.now = max(o.now, o.clock())
@@ -326,6 +336,9 @@
 	if o.zones != nil {
 		o.zones.turn()
 	}
+	if late {
+		o.leaves()
+	}
 	before := o.next
 	o.next, o.spareNext = o.spareNext[:0], nil
 	for _, e := range before {
@@ -359,6 +372,59 @@
 	o.sendCalls()
 }
 
+// pulse is a wake that always is among the others while searches are open: how late it is found shows how long the process
+// was held up.
+type pulse struct{ wake }
+
+func (p *pulse) awake(o *owner) {
+	if len(o.searches) > 0 {
+		o.await(&p.wake, int64(pulseEach/tenth), p)
+	} else {
+		p.do = nil
+	}
+}
+
+// beat has it come.
+func (o *owner) beat() {
+	if o.pulse.do == nil {
+		o.await(&o.pulse.wake, int64(pulseEach/tenth), &o.pulse)
+	}
+}
+
+// catchUp lets sockets be read before a turn that begins long after a wake's time, until nothing more comes of it. Guards
+// against a process that was held up: what its clients, its replicas and discovery did meanwhile still lies there while its
+// wakes are due and slots come free: sub-requests would go out for clients that have left, to replicas that drain, and beside
+// answers that have come.
+func (o *owner) catchUp() (late bool) {
+	now := o.clock()
+	if o.wakes.Len() == 0 || now-o.wakes.list[0].at < int64(heldUp/tenth) || now-o.caughtUp < int64(heldEach/tenth) {
+		return false
+	}
+	for had, looks := -1, 0; had != len(o.queue) && looks < heldLooks; looks++ {
+		had = len(o.queue)
+		select {
+		case <-o.Clock.After(heldLook):
+		case <-o.ctx.Done():
+		}
+	}
+	o.caughtUp = o.clock()
+	return true
+}
+
+// leaves withdraws the searches whose clients have left, though their readers have not said so yet.
+func (o *owner) leaves() {
+	var gone []*search
+	for _, s := range o.searches {
+		if s.client != nil && s.client.gone() {
+			gone = append(gone, s)
+		}
+	}
+	slices.SortFunc(gone, func(s, u *search) int { return cmp.Compare(s.id, u.id) }) // the module's actions follow its calls
+	for _, s := range gone {
+		o.withdraw(s)
+	}
+}
+
 func (o *owner) after(wait int64, do func()) { o.await(&wake{}, wait, doing(do)) }
 
 // await has a wake come after a while; it is not among the wakes yet.
@@ -406,6 +472,7 @@
 	s.due = o.now + int64((s.patience-o.Clock.Now().Sub(s.came))/tenth)
 	s.id, s.step = o.number(), 1
 	o.searches[s.id] = s
+	o.beat()
 	o.hold(s, searchBytes+len(s.text)+partBytes*len(s.shards))
 	o.module.Search(s.id, s.qtype, s.tenant, s.key, s.due-o.now, s.id, len(s.shards), s.retry)
 	o.addParts(s, s.shards, s.weights)
--- a/coordinator/start.go
+++ b/coordinator/start.go
@@ -97,6 +97,11 @@
 	listMost     = 256                     // bytes of a part's list that need no room of their own
 	spareMost    = 4096                    // wakes that are kept for the next: those of a few hundred open searches
 	shadowEach   = 10 * time.Second        // between lines on what other settings would have decided otherwise
+	pulseEach    = 50 * time.Millisecond   // between looks at the time while searches are open: a client may be gone for 0.1 s
+	heldUp       = 50 * time.Millisecond   // after its time a wake shows that the process was held up: no turn takes so long
+	heldLook     = 5 * time.Millisecond    // for what lies in sockets then to be read first: a long list is read apart in some
+	heldLooks    = 10                      // such times at the most: what goes on coming is no backlog
+	heldEach     = 250 * time.Millisecond  // between two such looks: who has more to do than time is not held up by them too
 	lookAgain    = time.Hour               // after which a far wake is reckoned anew: the wall may have been set meanwhile
 	nameMost     = 128                     // bytes of a request's id: it stands in each of its frames
 )
