--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -155,6 +155,17 @@
 	conn.Close()
 }
 
+// noneTaken waits until the listener is closed.
+func (r *rig) noneTaken() {
+	r.eventually("no more connections are taken", func() bool {
+		conn, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+}
+
 // open counts the searches that are open.
 func (r *rig) open() (n int) {
 	r.inTurn(func(o *owner) { n = len(o.searches) })
@@ -187,13 +198,7 @@
 				r.owner.lastly.Store(true)
 				r.stop()
 				r.logged("event=stopping")
-				r.eventually("no more are taken", func() bool { // connections that are open go on
-					conn, err := net.Dial("tcp", r.addr)
-					if err == nil {
-						conn.Close()
-					}
-					return err != nil
-				})
+				r.noneTaken()
 				head = ""
 			}
 			armed.Store(true)
@@ -310,13 +315,7 @@
 	<-half
 	r.stop()
 	r.logged("event=stopping")
-	r.eventually("no more are taken", func() bool {
-		conn, err := net.Dial("tcp", r.addr)
-		if err == nil {
-			conn.Close()
-		}
-		return err != nil
-	})
+	r.noneTaken()
 	close(gate)
 	status, _, text, _ := c.answer()
 	require.Equal(t, 200, status)
--- a/coordinator/given_up_test.go
+++ b/coordinator/given_up_test.go
@@ -171,7 +171,10 @@
 
 // A part whose client leaves while it waits for a connection that is not up does not go out once that is.
 func TestClientLeavesUnderADial(t *testing.T) {
-	r, let := startGated(t, nil)
+	r, let := startGated(t, func(settings map[string]any) { // the module calls nothing off
+		may := settings["Permissions"].(map[string]any)
+		may["SecondCopies"], may["Cancelling"] = false, false
+	})
 	c := r.call().send(request("q", "all", "", fourParts))
 	r.eventually("parts wait", func() bool { return r.waiting("a0")+r.waiting("a1") >= 2 })
 	id := "a0"
@@ -182,8 +185,12 @@
 	r.eventually("its client has left", func() bool { return r.open() == 0 })
 	let(id)
 	r.eventually("the connection is up", func() bool { return r.up(id) })
-	r.call().send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").answer() // a turn and its writes are over
-	require.Zero(t, r.replicas[id].Took())
+	r.call().want("next", "all", 200, wholeOfAll) // by the same connection, behind what would have gone out
+	parts, _, _, _ := r.replicas[id].Seen()
+	require.Len(t, parts, 2)
+	for _, p := range parts {
+		require.True(t, strings.HasPrefix(p.ID, "next."), p.ID)
+	}
 	r.end()
 }
 
--- a/coordinator/lists_crossing_test.go
+++ b/coordinator/lists_crossing_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/url"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +118,36 @@
 		require.Greater(t, len(waits), 15)
 	}
 }
+
+// An answer of the old place that was read as SIGHUP moves discovery does not outlast the new place's list, though its version
+// is higher.
+func TestAnswerOfTheOldPlace(t *testing.T) {
+	read, gate := make(chan struct{}), make(chan struct{})
+	var old atomic.Value
+	old.Store("")
+	var once sync.Once
+	r := crossed(t, 256, nil, nil, func(addr string, c *crossing) {
+		c.read = func(int) {
+			if addr == old.Load() {
+				once.Do(func() { close(read); <-gate })
+			}
+		}
+	}, nil)
+	<-r.list.Calls
+	old.Store(r.list.Ln.Addr().String())
+	r.list.Answers <- fmt.Sprintf(`{"version":99,"full":true,"servers":[%s]}`, r.entry("b0", "up"))
+	<-read
+	next := script(t)
+	p := *r.plan
+	p.Discovery = next.Ln.Addr().String()
+	r.plans <- &p
+	r.logged("event=reloaded")
+	close(gate)
+	require.Equal(t, "/v1/servers", <-next.Calls)
+	next.Answers <- fmt.Sprintf(`{"version":3,"full":true,"servers":[%s,%s]}`, r.entry("a0", "up"), r.entry("b1", "up"))
+	r.logged("version=3 ")
+	require.Equal(t, "/v1/servers?index=3&wait=2000", <-next.Calls)
+	r.call().want("q", "all", 200, wholeOfAll)
+	require.Zero(t, r.replicas["b0"].Took())
+	r.end()
+}
--- a/coordinator/started_again_test.go
+++ b/coordinator/started_again_test.go
@@ -35,3 +35,37 @@
 	require.Equal(t, before+1, conns())
 	r.end()
 }
+
+// Another host at the address of one that is gone: what goes to it goes on a connection of its own, and what was out at the one
+// before is told by that one's connection alone.
+func TestAnotherHostAtTheAddress(t *testing.T) {
+	r := start(t, 256, nil)
+	<-r.list.Calls
+	r.list.Answers <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry("a1", "draining"))
+	r.logged("version=8 ")
+	held := make(chan asked, 16)
+	r.replicas["a0"].Set(func(p asked) { held <- p })
+	c := r.call().send(request("first", "all", "", fourParts))
+	first := <-held
+	r.replicas["a0"].Set(asked.Good)
+	conns := func() int { _, _, n, _ := r.replicas["a0"].Seen(); return n }
+	before := conns()
+	r.list.Answers <- fmt.Sprintf(`{"version":9,"full":false,"servers":[%s,%s]}`, r.entry("a0", "removed"),
+		strings.Replace(r.entry("a0", "up"), `"id":"a0"`, `"id":"a9"`, 1))
+	r.logged("version=9 ")
+	r.call().want("second", "all", 200, wholeOfAll)
+	require.Greater(t, conns(), before)
+	first.Good()
+	for len(held) > 0 {
+		(<-held).Good()
+	}
+	status, _, text, _ := c.answer()
+	require.Equal(t, 200, status)
+	require.JSONEq(t, wholeOfAll, text)
+	r.inTurn(func(o *owner) { require.NotNil(t, o.fleet["a9"]) })
+	r.eventually("the one that is gone is forgotten", func() (gone bool) {
+		r.inTurn(func(o *owner) { gone = o.fleet["a0"] == nil })
+		return gone
+	})
+	r.end()
+}
