Where no copies are allowed, only the replica's word ends a given-up sub-request

Change: such a sub-request is over when its replica answers it all the same, which counts as the answer, when the other side ends the connection, or with its search.

--- a/coordinator/connections.go
+++ b/coordinator/connections.go
@@ -118,7 +118,6 @@
 	last    bool // the connection ends after it
 	fenced  bool // it may not be begun once the link's fence is up
 	limited bool // it may not be begun after a time that the link knows
-	cancels bool // it tells a replica that a sub-request is given up
 	stage   atomic.Int32
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -821,7 +821,7 @@
 
 // oneOut is a search with one sub-request out, its frame at that stage.
 func oneOut(stage int32) (*owner, *line, *search) {
-	o := &owner{plan: &Plan{}, searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}}
+	o := &owner{plan: &Plan{}, searches: map[uint64]*search{}, names: map[string]bool{}, parts: map[uint64]*part{}, copies: true}
 	l := &line{link: newLink(context.Background(), 2), r: &replica{id: "a0"}, speaks: frames{}, calls: 1}
 	s := &search{id: 1, name: "q"}
 	p := &part{id: 2, s: s, untold: 1}
--- a/coordinator/given_up_test.go
+++ b/coordinator/given_up_test.go
@@ -70,59 +70,79 @@
 const onePart = `{"ranges":[{"range":0,"portion":1}],"predicate":"what"}`
 
 // Where no part may be out twice at once, the module hears of the end of a sub-request that is given up, and so may send a
-// further one, only when its replica can be taken to know: not as the cancel frame is written, nor as the connection is closed
-// on this side, for on one that has fallen silent neither arrives. Where copies are allowed it hears at once.
+// further one, only when that is over for its replica too: not as the cancel frame is written, nor as something else is heard, nor as
+// the connection is closed on this side, for on one that has fallen silent neither arrives. An answer that comes all the same counts.
+// Where copies are allowed it hears at once.
 func TestGivenUpWhereNoCopiesAre(t *testing.T) {
+	type at struct {
+		*rig
+		hold chan asked
+		p    *puppet
+		part uint64
+		l    *line
+	}
 	for name, x := range map[string]struct {
 		copies bool
-		then   func(r *rig, hold chan asked, p *puppet, part uint64, l *line)
+		then   func(a at)
+		told   string
 	}{
-		"copies are allowed": {true, func(*rig, chan asked, *puppet, uint64, *line) {}},
-		"heard behind the cancel frame": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
-			a := <-hold
-			r.eventually("the cancel frame has come", func() bool { return r.given() == 1 })
-			p.untold()
-			a.Reply("later", "-", "") // of the one that was given up: dropped
-		}},
-		"the other side resets it": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
-			<-hold
-			p.untold()
-			r.replicas["a0"].Reset()
-		}},
-		"closed on this side, its time over": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
-			r.inTurn(func(*owner) { l.cut(retired) })
-			r.eventually("it has ended", func() (ended bool) {
-				r.inTurn(func(o *owner) { ended = len(o.fleet["a0"].lines) == 0 })
+		"copies are allowed": {true, func(at) {}, "Canceled"},
+		"answered all the same": {false, func(a at) {
+			first := <-a.hold
+			a.eventually("the cancel frame has come", func() bool { return a.given() == 1 })
+			a.p.untold()
+			first.Good()
+		}, "Ok"},
+		"refused all the same": {false, func(a at) {
+			first := <-a.hold
+			a.eventually("the cancel frame has come", func() bool { return a.given() == 1 })
+			first.Reply("later", "-", "")
+		}, "QueueFull"},
+		"another is heard, then the other side resets it": {false, func(a at) {
+			<-a.hold
+			c := a.call().send(request("other", "all", "", onePart))
+			ids := <-a.p.searches
+			a.inTurn(func(o *owner) { o.Send(ids[1], "a0", 0) })
+			(<-a.hold).Good()
+			a.p.told("Ok")
+			a.inTurn(func(o *owner) { o.Answer(ids[0], true) })
+			status, _, _, _ := c.answer()
+			require.Equal(a.t, 200, status)
+			a.p.untold()
+			a.replicas["a0"].Reset()
+		}, "Canceled"},
+		"closed on this side, then its search ends": {false, func(a at) {
+			a.inTurn(func(*owner) { a.l.cut(retired) })
+			a.eventually("it has ended", func() (ended bool) {
+				a.inTurn(func(o *owner) { ended = len(o.fleet["a0"].lines) == 0 })
 				return ended
 			})
-			p.untold()
-		}},
-		"its search ends": {false, func(r *rig, hold chan asked, p *puppet, part uint64, l *line) {
-			p.untold()
-			r.inTurn(func(o *owner) { o.Error(o.parts[part].s.id) })
-		}},
+			a.p.untold()
+			a.inTurn(func(o *owner) { o.Error(o.parts[a.part].s.id) })
+		}, "Canceled"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := crossed(t, 256, func(settings map[string]any) {
 				settings["Permissions"].(map[string]any)["SecondCopies"] = x.copies
 			}, nil, nil, nil)
-			p, hold := r.puppet(), make(chan asked, 8)
-			r.replicas["a0"].Set(func(a asked) { hold <- a })
-			c := r.call().send(strings.Replace(request("q", "all", "", onePart), "8.000", "2.000", 1))
-			part := (<-p.searches)[1]
-			r.inTurn(func(o *owner) { o.Send(part, "a0", 0) })
-			var l *line
+			a := at{r, make(chan asked, 8), r.puppet(), 0, nil}
+			r.replicas["a0"].Set(func(p asked) { a.hold <- p })
+			c := r.call().send(request("q", "all", "", onePart))
+			a.part = (<-a.p.searches)[1]
+			r.inTurn(func(o *owner) { o.Send(a.part, "a0", 0) })
 			r.eventually("it is out", func() bool {
-				r.inTurn(func(o *owner) { l = o.fleet["a0"].lines[0] })
+				r.inTurn(func(o *owner) { a.l = o.fleet["a0"].lines[0] })
 				return r.replicas["a0"].Took() == 1
 			})
-			r.inTurn(func(o *owner) { o.Cancel(part, 0) })
-			x.then(r, hold, p, part, l)
-			p.told("Canceled")
+			r.inTurn(func(o *owner) { o.Cancel(a.part, 0) })
+			x.then(a)
+			a.p.told(x.told)
 			r.inTurn(func(o *owner) {
-				if s := o.parts[part]; s != nil {
-					o.Error(s.s.id)
+				require.Empty(t, o.lingering)
+				if p := o.parts[a.part]; p != nil {
+					require.Equal(t, x.told == "Ok", p.in)
+					o.Error(p.s.id)
 				}
 			})
 			status, _, _, _ := c.answer()
@@ -139,7 +159,7 @@
 		var told []string
 		o, l, s := oneOut(written)
 		now := int64(1000)
-		o.keyed, o.windows, o.module, o.copies, o.now = []bool{true}, []int64{3000}, deaf{told: &told}, true, now
+		o.keyed, o.windows, o.module, o.now = []bool{true}, []int64{3000}, deaf{told: &told}, now
 		o.ctx, o.queue = t.Context(), make(chan func(), 4)
 		l.up, l.clock = 1, func() int64 { return now }
 		l.missed = func(p *parcel) { o.post(func() { o.tooLate(l, p) }) }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -558,7 +558,7 @@
 	for _, p := range s.parts {
 		for _, sub := range p.subs {
 			if g := o.lingering[sub]; g != nil {
-				o.over(g)
+				o.laterLanded(sub, o.forgoes(g))
 			}
 			if sub.call == nil {
 				continue
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -132,13 +132,13 @@
 		}
 	} else {
 		o.leave(sub)
-		said := l.speaks.cancel(l, sub)
+		l.speaks.cancel(l, sub)
 		// Nothing is sent after the final answer: a frame given up before it may still be on its way out.
 		if b, s := (behind{l.link, c.parcel}), sub.p.s; !s.over && !b.out() {
 			s.begun = append(s.begun, b)
 		}
 		if o.lingers(sub) {
-			o.linger(l, sub, outcome, said)
+			o.linger(l, sub, outcome)
 			outcome = ""
 		}
 	}
@@ -155,50 +155,39 @@
 // lingering is a sub-request that this side waits for no longer, while its replica may not know so yet.
 type lingering struct {
 	sub     *subRequest
-	outcome string  // empty once the module has been told
-	said    *parcel // the cancel frame; nil where the connection's end has to say it
-	saidAt  int64   // when that was known to be out, 0 before
-	wake    wake
+	l       *line
+	outcome string
 }
 
 // lingers tells whether a sub-request that this side gives up may be out all the same, where no part may be out twice.
-func (o *owner) lingers(sub *subRequest) bool {
-	return !o.copies && !sub.p.over() && o.now < sub.due
-}
+func (o *owner) lingers(sub *subRequest) bool { return !o.copies && !sub.p.over() }
 
-// linger keeps the end of a sub-request from the module until its replica can be taken to know it: something was heard on
-// its connection after the cancel frame was out, the other side ended the connection, or the time that the replica was told
-// is over. Guards against a second copy: on a connection that has fallen silent neither a cancel frame nor our close
-// arrives, and on any other a further sub-request may overtake it. Harm: of a replica that hangs nothing is heard either,
-// and the part waits for the end of its time.
-func (o *owner) linger(l *line, sub *subRequest, outcome string, said *parcel) {
-	g := &lingering{sub: sub, outcome: outcome, said: said}
-	l.lingering = append(l.lingering, g)
-	o.lingering[sub] = g
-	o.await(&g.wake, sub.due-o.now, doing(func() { o.over(g) }))
+// linger keeps the end of a sub-request from the module until it is over for its replica too: that has answered it, or has
+// ended the connection. Guards against a second copy. A cancel frame may be overtaken, or not be read while the connection's
+// places are taken; on one that has fallen silent neither it nor our close arrives; and the time that the replica was told
+// counts from its reading the frame, which a new connection may hold up. Harm: of a replica that hangs nothing comes, and the
+// part is lost to its search.
+func (o *owner) linger(l *line, sub *subRequest, outcome string) {
+	g := &lingering{sub, l, outcome}
+	l.lingering, o.lingering[sub] = append(l.lingering, g), g
 }
 
-// over tells the module of one that lingered.
-func (o *owner) over(g *lingering) {
-	if g.outcome == "" {
-		return
-	}
-	o.unwake(&g.wake)
-	o.laterLanded(g.sub, g.outcome)
-	g.outcome = ""
+// forgoes ends a sub-request's lingering, and gives how it had ended here.
+func (o *owner) forgoes(g *lingering) (outcome string) {
 	delete(o.lingering, g.sub)
+	g.l.lingering = slices.DeleteFunc(g.l.lingering, func(x *lingering) bool { return x == g })
+	return g.outcome
 }
 
-// known tells the module of those on a connection whose replicas can be taken to know by now; of all where it is certain.
-func (o *owner) known(l *line, certain bool) {
-	l.lingering = slices.DeleteFunc(l.lingering, func(g *lingering) bool {
-		if g.saidAt == 0 && g.said != nil && g.said.stage.Load() == written {
-			g.saidAt = o.now
-		} else if certain || g.saidAt > 0 && l.heard > g.saidAt {
-			o.over(g)
+// late finds a sub-request that lingers on a connection by its id, and takes it off.
+func (o *owner) late(l *line, id string) *subRequest {
+	for _, g := range l.lingering {
+		if g.sub.name == id {
+			o.forgoes(g)
+			return g.sub
 		}
-		return g.outcome == ""
-	})
+	}
+	return nil
 }
 
 // takeBack takes a sub-request off its call if no byte of that has been begun; the rest goes without it.
@@ -511,12 +500,7 @@
 		if err == nil {
 			o.post(func() { o.rise(l) })
 			end = l.serve(conn, wait, func(context.Context) error { return l.speaks.hear(o, l, conn) },
-				func(p *parcel) error {
-					if p.cancels && !o.copies {
-						o.post(func() { o.known(l, false) })
-					}
-					return nil
-				})
+				func(*parcel) error { return nil })
 		}
 		o.post(func() { o.ended(l, end, addr) })
 		return nil
@@ -613,10 +597,10 @@
 func (o *owner) answer(l *line, id []byte, outcome string, score []byte, report map[string]float64,
 	value []byte, read any) {
 	l.heard = o.now
-	if len(l.lingering) > 0 {
-		o.known(l, false)
+	sub, waits := find(l.subs, string(id)), true
+	if sub == nil {
+		sub, waits = o.late(l, string(id)), false
 	}
-	sub := find(l.subs, string(id))
 	if sub == nil {
 		if _, known := l.past[string(id)]; !known {
 			o.log.often("bad_frame", "bad_frame", "replica", l.r.id, "error", "answer to "+string(id))
@@ -624,7 +608,7 @@
 		}
 		return
 	}
-	if !o.takeBack(sub) { // guards against a repeat on this connection that goes out though the first was answered
+	if waits && !o.takeBack(sub) { // guards against a repeat on this connection that goes out though the first was answered
 		o.leave(sub)
 	}
 	o.usual += (float64(o.now-sub.sent) - o.usual) / usualCount
@@ -673,7 +657,7 @@
 		first = first && !out
 		o.leave(sub)
 		if out && !certain && o.lingers(sub) {
-			o.linger(l, sub, outcome, nil)
+			o.linger(l, sub, outcome)
 			continue
 		}
 		tell = append(tell, func() { o.landed(sub, outcome, nil) })
@@ -681,7 +665,10 @@
 	for _, do := range tell {
 		do()
 	}
-	o.known(l, certain)
+	for certain && len(l.lingering) > 0 {
+		sub := l.lingering[0].sub
+		o.laterLanded(sub, o.forgoes(l.lingering[0]))
+	}
 	o.forget(l.r)
 }
 
--- a/coordinator/tongues.go
+++ b/coordinator/tongues.go
@@ -29,7 +29,7 @@
 	streams(o *owner) int // calls on one connection at once
 	waits() bool          // a call beyond that may wait on a connection
 	call(o *owner, dst []byte, c *call) []byte
-	cancel(l *line, sub *subRequest) *parcel // what is written already; the frame that does, nil where the connection ends for it
+	cancel(l *line, sub *subRequest) // what is written already
 	hear(o *owner, l *line, conn net.Conn) error
 }
 
@@ -78,11 +78,10 @@
 	return frame.End(dst, 0)
 }
 
-func (frames) cancel(l *line, sub *subRequest) *parcel {
-	p := &parcel{b: lend(), cancels: true}
-	*p.b = frame.AppendCancel(*p.b, sub.name)
-	l.put(p)
-	return p
+func (frames) cancel(l *line, sub *subRequest) {
+	b := lend()
+	*b = frame.AppendCancel(*b, sub.name)
+	l.put(&parcel{b: b})
 }
 
 var zero = []byte("0") // the score of hosts that tell none
@@ -186,10 +185,7 @@
 	return append(dst, sub.p.s.text...)
 }
 
-func (openSearch) cancel(l *line, _ *subRequest) *parcel {
-	l.cut(retired)
-	return nil
-}
+func (openSearch) cancel(l *line, _ *subRequest) { l.cut(retired) }
 
 // outcome is the one table from what an OpenSearch host answers to the module's outcomes. 429 and 503 have not run; whatever else is no good answer may have.
 func (k openSearch) outcome(status int, body []byte, shard int) (outcome string, err error) {
