--- a/coordinator/given_up_test.go
+++ b/coordinator/given_up_test.go
@@ -98,6 +98,12 @@
 			a.eventually("the cancel frame has come", func() bool { return a.given() == 1 })
 			first.Reply("later", "-", "")
 		}, "QueueFull"},
+		"its connection is retired, and it is answered": {false, func(a at) {
+			first := <-a.hold
+			a.inTurn(func(o *owner) { o.retire(a.l) })
+			a.p.untold()
+			first.Good()
+		}, "Ok"},
 		"another is heard, then the other side resets it": {false, func(a at) {
 			<-a.hold
 			c := a.call().send(request("other", "all", "", onePart))
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -176,6 +176,7 @@
 func (o *owner) forgoes(g *lingering) (outcome string) {
 	delete(o.lingering, g.sub)
 	g.l.lingering = slices.DeleteFunc(g.l.lingering, func(x *lingering) bool { return x == g })
+	o.mayClose(g.l)
 	return g.outcome
 }
 
@@ -678,7 +679,7 @@
 		return
 	}
 	most := int64(idleShare * float64(o.plan.span("Permissions.ConnIdle")/tenth))
-	if left := l.usedAt + most - o.now; left > 0 || l.calls > 0 {
+	if left := l.usedAt + most - o.now; left > 0 || l.calls > 0 || len(l.lingering) > 0 {
 		o.after(max(left, most/4), func() { o.idle(l) })
 		return
 	}
@@ -698,7 +699,7 @@
 }
 
 func (o *owner) mayClose(l *line) {
-	if l.shut && l.calls == 0 {
+	if l.shut && l.calls == 0 && len(l.lingering) == 0 {
 		l.end(retired)
 	}
 }
