TestGivenUpWhereNoCopiesAre looks for its connection in the turn after the one that sends

Seen once in 300 cases with the race detector: 'index out of range [0]' in the test's own closure, which ran in the turn that sends the part, before that has a connection. The test waits for it now; its assertions are as they were.

--- a/coordinator/given_up_test.go
+++ b/coordinator/given_up_test.go
@@ -138,8 +138,12 @@
 			a.part = (<-a.p.searches)[1]
 			r.inTurn(func(o *owner) { o.Send(a.part, "a0", 0) })
 			r.eventually("it is out", func() bool {
-				r.inTurn(func(o *owner) { a.l = o.fleet["a0"].lines[0] })
-				return r.replicas["a0"].Took() == 1
+				r.inTurn(func(o *owner) { // maybe in the turn that sends it, before it has a connection
+					if lines := o.fleet["a0"].lines; len(lines) > 0 {
+						a.l = lines[0]
+					}
+				})
+				return a.l != nil && r.replicas["a0"].Took() == 1
 			})
 			r.inTurn(func(o *owner) { o.Cancel(a.part, 0) })
 			x.then(a)
