--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -178,11 +178,11 @@
 	for name, atStop := range map[string]bool{"a request that wants it": false, "the end of the stop": true} {
 		t.Run(name, func(t *testing.T) {
 			answered, reads := make(chan struct{}), make(chan struct{}, 64)
-			var armed atomic.Bool
 			r := crossed(t, 256, nil, func(c *crossing) {
+				answers := 0
 				c.read = func(int) { reads <- struct{}{} }
 				c.wrote = func(p []byte) {
-					if armed.CompareAndSwap(true, false) {
+					if answers++; answers == 2 {
 						for len(reads) > 0 {
 							<-reads
 						}
@@ -201,7 +201,6 @@
 				r.noneTaken()
 				head = ""
 			}
-			armed.Store(true)
 			c.send(request("last", "all", head, fourParts))
 			<-answered
 			c.send(request("behind", "all", "", fourParts))
