A client's socket is found in one place

The read that does not wait and the look whether a client has gone each asked the connection for its socket (clients.go); rawOf does it for both. Behaviour as before.

--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -474,37 +474,42 @@
 	return nil // there is nothing more, or it is not known
 }
 
-// gone tells whether the client has ended its side of the connection, as far as the system knows.
-func (c *client) gone() bool {
-	there, ok := c.conn.(syscall.Conn)
+// rawOf is a connection's socket, nil where it has none or is closed here.
+func rawOf(conn net.Conn) syscall.RawConn {
+	there, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return nil
 	}
 	raw, err := there.SyscallConn()
 	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// gone tells whether the client has ended its side of the connection, as far as the system knows.
+func (c *client) gone() (ended bool) {
+	raw := rawOf(c.conn)
+	if raw == nil {
 		return false
 	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
+	closed := raw.Control(func(fd uintptr) {
 		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(at, 0)
 		ended = err == nil && n > 0 && at[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return ended || err != nil // it is closed here
+	return ended || closed != nil
 }
 
 // atOnce gives a read of a connection that does not wait, made once for all its requests; nil where there is none.
 func atOnce(conn net.Conn) func(p []byte) (int, error) {
-	there, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := there.SyscallConn()
-	if err != nil {
+	raw := rawOf(conn)
+	if raw == nil {
 		return nil
 	}
 	var into []byte
 	var n int
+	var err error
 	read := func(fd uintptr) { n, err = syscall.Read(int(fd), into) }
 	return func(p []byte) (int, error) {
 		into = p
