Under contracts a late answer to a part that was called off counts for nothing

Found by reading the change once more: has an answer that comes all the same end a given-up sub-request, and count. Where a contract on zones had called the part off and no copies are allowed, so would an answer from where the part may not run (replicas.go, answer). Under contracts it ends now as it had ended here. TestLateAnswerUnderContracts without it: 'expected: []string{"Canceled"}, actual: []string{"Ok"}'. Without contracts nothing changes. With it: the finder has another name than the writer's look at the time, a comment stands at its field again, and the two resets of the tests are one.

--- a/coordinator/client_moments_test.go
+++ b/coordinator/client_moments_test.go
@@ -26,10 +26,7 @@
 var leavings = map[string]func(conn *net.TCPConn) error{
 	"closed":      (*net.TCPConn).Close,
 	"half-closed": (*net.TCPConn).CloseWrite,
-	"reset": func(conn *net.TCPConn) error {
-		conn.SetLinger(0)
-		return conn.Close()
-	},
+	"reset":       func(conn *net.TCPConn) error { return reset(conn) },
 }
 
 // given counts the parts that hosts were told to give up.
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -150,9 +150,9 @@
 }
 
 // reset ends a connection with a reset.
-func reset(conn net.Conn) {
+func reset(conn net.Conn) error {
 	conn.(*net.TCPConn).SetLinger(0)
-	conn.Close()
+	return conn.Close()
 }
 
 // noneTaken waits until the listener is closed.
--- a/coordinator/given_up_test.go
+++ b/coordinator/given_up_test.go
@@ -271,3 +271,22 @@
 	}
 	r.end()
 }
+
+// Under contracts a late answer to a part that was called off counts for nothing: it may come from where the part may not run.
+func TestLateAnswerUnderContracts(t *testing.T) {
+	for _, bound := range []bool{false, true} {
+		var told []string
+		o, l, s := oneOut(written)
+		o.copies, o.lingering, o.module = false, map[*subRequest]*lingering{}, deaf{told: &told}
+		if bound {
+			o.zones = &bounding{}
+		}
+		p := s.parts[0]
+		o.Cancel(p.id, 0)
+		require.Empty(t, o.next)
+		o.answer(l, []byte("q.0"), "Ok", zero, nil, []byte("v"), nil)
+		require.Equal(t, []string{map[bool]string{false: "Ok", true: "Canceled"}[bound]}, told)
+		require.Equal(t, !bound, p.in)
+		require.Empty(t, o.lingering)
+	}
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -37,8 +37,8 @@
 
 	blocks, streams, perCall, maxAttempts int     // of the settings, read once
 	keyed                                 []bool  // by type: replicas drop a repeat while they remember
-	copies                                bool    // a part may be out twice at once
 	windows                               []int64 // by type: how long they do
+	copies                                bool    // a part may be out twice at once
 	followUps                             []int   // parts of the second step, by type; 0 where there is none
 
 	start     time.Time
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -180,15 +180,18 @@
 	return g.outcome
 }
 
-// late finds a sub-request that lingers on a connection by its id, and takes it off.
-func (o *owner) late(l *line, id string) *subRequest {
+// answered finds a sub-request that lingers on a connection by its id, takes it off, and gives what its answer counts as.
+// Guards against an answer from where a contract has called its part off: under contracts it ends as it had ended here.
+func (o *owner) answered(l *line, id, outcome string) (*subRequest, string) {
 	for _, g := range l.lingering {
 		if g.sub.name == id {
-			o.forgoes(g)
-			return g.sub
+			if ended := o.forgoes(g); o.zones != nil {
+				outcome = ended
+			}
+			return g.sub, outcome
 		}
 	}
-	return nil
+	return nil, outcome
 }
 
 // takeBack takes a sub-request off its call if no byte of that has been begun; the rest goes without it.
@@ -600,7 +603,8 @@
 	l.heard = o.now
 	sub, waits := find(l.subs, string(id)), true
 	if sub == nil {
-		sub, waits = o.late(l, string(id)), false
+		waits = false
+		sub, outcome = o.answered(l, string(id), outcome)
 	}
 	if sub == nil {
 		if _, known := l.past[string(id)]; !known {
