--- a/review/stand/random.go
+++ b/review/stand/random.go
@@ -21,8 +21,10 @@
 // playRandom plays random troubles at a site and checks all rules. SITE names the site, MODES the kinds, RATE the searches a second of
 // each co-ordinator.
 func playRandom(rec *record, root string, trouble bool, seed int64) (int, error) {
-	sites := map[string]func() *site{"mae": maePing, "periyar": periyar, "muscat": muscat, "kolkata": kolkata, "laurentides": laurentides,
-		"brink": brink, "ebene": ebene}
+	sites := map[string]func() *site{
+		"mae": maePing, "periyar": periyar, "muscat": muscat, "kolkata": kolkata, "laurentides": laurentides,
+		"brink": brink, "ebene": ebene,
+	}
 	if sites[os.Getenv("SITE")] == nil {
 		return notRun, fmt.Errorf("SITE %q is unknown", os.Getenv("SITE"))
 	}
