Count a request's time from its arrival, also after a stall of the process

Cause: a deadline was counted from when the request was read (readRequest, startSearch). After a stall all that came meanwhile is read at once. catchUp found the stall, but not since when, and only while searches were open: its timer did not run in an idle process.

Change: coordinator/stall.go keeps when the event loop last ran and last stalled; the heartbeat runs all the time. A request read in a catch-up or up to 0.1 s after it counts from when the system received its last bytes (TCP_INFO), else from when the event loop last ran, which can be too early, never too late. Any frontend's searches pass startSearch, so SearchAPI's are covered. A stall is logged as `stalled`.

--- a/coordinator/child_process_test.go
+++ b/coordinator/child_process_test.go
@@ -25,14 +25,16 @@
 
 // childProcess runs the program as a process with four fake hosts on loopback and its plan in a file.
 type childProcess struct {
-	t     *testing.T
-	hosts []*fake.Host
-	plan  map[string]any
-	file  string
-	addr  string
-	cmd   *exec.Cmd
-	log   *logBuffer // its output, unless start was given another file
-	ended chan error
+	t         *testing.T
+	hosts     []*fake.Host
+	endpoints []fake.Endpoint // of the hosts, as discovery lists them at the start
+	discovery *fake.DiscoveryServer
+	plan      map[string]any
+	file      string
+	addr      string
+	cmd       *exec.Cmd
+	log       *logBuffer // its output, unless start was given another file
+	ended     chan error
 }
 
 // write writes the plan to its file.
@@ -140,17 +142,17 @@
 // newChildProcess prepares a process without starting it.
 func newChildProcess(t *testing.T) *childProcess {
 	l := &childProcess{t: t, file: filepath.Join(t.TempDir(), "plan.json")}
-	var entries []fake.Endpoint
 	for _, hostID := range []string{"a0", "a1", "b0", "b1"} {
 		h, err := fake.NewHost(hostID, int(hostID[0]-'a'), true, receivedRequest.ReplyGood)
 		require.NoError(t, err)
 		t.Cleanup(h.Close)
 		l.hosts = append(l.hosts, h)
-		entries = append(entries, fake.Endpoint{ID: hostID, Addr: h.Listener.Addr().String(), Zone: "z one", Kind: "small", Cell: h.Cell, State: "up"})
+		l.endpoints = append(l.endpoints, fake.Endpoint{ID: hostID, Addr: h.Listener.Addr().String(), Zone: "z one", Kind: "small", Cell: h.Cell, State: "up"})
 	}
-	d, err := fake.NewDiscoveryServer(entries)
+	d, err := fake.NewDiscoveryServer(l.endpoints)
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
+	l.discovery = d
 	free := listen(t)
 	l.addr = free.Addr().String()
 	free.Close()
--- a/coordinator/client_connection_test.go
+++ b/coordinator/client_connection_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -374,18 +373,13 @@
 				conns = append(conns, conn)
 			}
 			l.eventually("shard requests are sent", func() bool { return received() >= 8 }) // up to 16 are sent, but a busy machine may be slow to send them all
-			l.signal(syscall.SIGSTOP)
-			l.eventually("the process is stopped", func() bool {
-				text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", l.cmd.Process.Pid))
-				require.NoError(t, err)
-				return strings.Contains(string(text), ") T ")
-			})
+			l.suspend()
 			for _, conn := range conns {
 				conn.Close()
 			}
 			time.Sleep(time.Duration(400+200*i) * time.Millisecond) // the hedged attempt of an overdue shard request is due after 500 ms
 			before := received()
-			l.signal(syscall.SIGCONT)
+			l.resume()
 			l.ready()                          // the process runs again
 			time.Sleep(200 * time.Millisecond) // for attempts that must not be sent
 			require.Equal(t, before, received(), "%s", l.log)
--- a/coordinator/event_loop.go
+++ b/coordinator/event_loop.go
@@ -16,12 +16,7 @@
 	"chalkring/coordinator/plan"
 )
 
-const (
-	maxQueuedTasks  = 1024                   // tasks waiting for the event loop: several for each descriptor at a usual limit
-	catchUpWait     = 5 * time.Millisecond   // for sockets to be read before an iteration after a stall; decoding a long list takes several milliseconds
-	maxCatchUpWaits = 10                     // such waits in a row; tasks that keep arriving after them are not a backlog of the stall
-	catchUpInterval = 250 * time.Millisecond // between two catch-ups, so that they do not delay an overloaded process further
-)
+const maxQueuedTasks = 1024 // tasks waiting for the event loop: several for each descriptor at a usual limit
 
 // eventLoop owns the balancer and all state of searches, replicas and clients. Only its own goroutine accesses its fields,
 // except for tasks, log, ctx, the discovery requests and atomic fields. Client connections, replica connections and
@@ -43,6 +38,7 @@
 	rules       dispatchRules
 	events      eventBuffer
 	timers      timerSet
+	stalls      stallTracker
 	searches    searchTable
 	replicas    replicaTable
 	descriptors descriptorBudget
@@ -89,8 +85,11 @@
 }
 
 // clockTicks returns Unix time in ticks. It is monotonic: wall time is read only at the start.
-func (loop *eventLoop) clockTicks() int64 {
-	return loop.startTicks + int64(loop.Clock.Now().Sub(loop.startedAt)/tick)
+func (loop *eventLoop) clockTicks() int64 { return loop.ticksAt(loop.Clock.Now()) }
+
+// ticksAt returns a time of the clock in ticks.
+func (loop *eventLoop) ticksAt(at time.Time) int64 {
+	return loop.startTicks + int64(at.Sub(loop.startedAt)/tick)
 }
 
 // startBalancer configures the balancer with the settings and the last known endpoint list. It returns an error if the
@@ -104,6 +103,7 @@
 	loop.now = loop.clockTicks()
 	loop.balancer.BeginIteration(loop.now)
 	loop.balancer.Configure(loop.plan.Seed, loop.plan.Settings)
+	loop.startHeartbeat()
 	known := loop.plan.Known
 	loop.applyEndpointList("Persisted", known)
 	loop.notifyEndpointList(true, int64(known.Version), known.Hosts)
@@ -152,7 +152,7 @@
 }
 
 // handleOverdueTimer runs an iteration if the first timer is due and returns true. Otherwise it sets the alarm for that
-// timer and returns false. A due timer of the stall detector needs no iteration, unless it is late.
+// timer and returns false. A due heartbeat needs no iteration, unless it is late.
 func (loop *eventLoop) handleOverdueTimer() bool {
 	if loop.timers.queue.Len() == 0 {
 		return false
@@ -163,11 +163,7 @@
 		loop.setAlarm(first.at, time.Duration(wait)*tick)
 		return false
 	}
-	if first == &loop.timers.stall.timer && -wait < int64(stallThreshold/tick) {
-		loop.now = max(loop.now, loop.clockTicks())
-		heap.Pop(&loop.timers.queue)
-		loop.timers.stall.fire(loop)
-	} else {
+	if first != &loop.stalls.heartbeat || !loop.beat() {
 		loop.iterate(nil)
 	}
 	return true
@@ -190,18 +186,19 @@
 // iterate runs one iteration: it handles deferred events, the task first if it is not nil, all queued tasks and all due
 // timers, and then dispatches the batches of attempts that the balancer has sent.
 func (loop *eventLoop) iterate(first func()) {
-	hasStalled := loop.catchUp()
+	hasCaughtUp := loop.noticeStall() && loop.catchUp()
 	began := time.Now()
 	defer func() { loop.busyNanos.Add(int64(time.Since(began))) }()
 	loop.now = max(loop.now, loop.clockTicks())
 	if loop.now == loop.replicas.lastDispatchAt { // the balancer distinguishes the batches of two iterations by time
 		loop.now++
 	}
+	loop.stalls.lastRunAt.Store(loop.now)
 	loop.balancer.BeginIteration(loop.now)
 	if loop.enforcer != nil {
 		loop.enforcer.beginIteration()
 	}
-	if hasStalled {
+	if hasCaughtUp {
 		loop.withdrawGoneClients()
 	}
 	loop.runDeferredEvents()
@@ -248,26 +245,6 @@
 	loop.timers.due = due
 }
 
-// catchUp waits for sockets to be read before an iteration that starts long after a timer was due, that is, after a stall
-// of the process. At that time timers are due while messages that clients, replicas and discovery sent meanwhile are still
-// unread. Without the wait, attempts would be sent for clients that have left, to replicas that are draining, and for shard
-// requests whose answers have arrived.
-func (loop *eventLoop) catchUp() (hasStalled bool) {
-	now := loop.clockTicks()
-	if loop.timers.queue.Len() == 0 || now-loop.timers.queue.timers[0].at < int64(stallThreshold/tick) || now-loop.timers.caughtUpAt < int64(catchUpInterval/tick) {
-		return false
-	}
-	for queued, waits := -1, 0; queued != len(loop.tasks) && waits < maxCatchUpWaits; waits++ {
-		queued = len(loop.tasks)
-		select {
-		case <-loop.Clock.After(catchUpWait):
-		case <-loop.ctx.Done():
-		}
-	}
-	loop.timers.caughtUpAt = loop.clockTicks()
-	return true
-}
-
 // runNextIteration defers a task to the start of the next iteration.
 func (loop *eventLoop) runNextIteration(task func()) {
 	loop.events.next = append(loop.events.next, iterationEvent{task: task})
--- a/coordinator/search.go
+++ b/coordinator/search.go
@@ -41,8 +41,8 @@
 	text          []byte
 	class, tenant int
 	isRetry       bool
-	arrivedAt     time.Time
-	timeout       time.Duration // the client's, from arrivedAt
+	arrivedAt     time.Time     // when its request was read; once it is started, when the request arrived at this machine
+	timeout       time.Duration // the client's, from the request's arrival
 	shards        []int
 	weights       []float64
 	reply         func(r searchOutcome)
@@ -113,15 +113,30 @@
 	if search.decodeValue != nil {
 		loop.decoders.add(search.name, search.decodeValue)
 	}
-	search.deadline = loop.now + int64((search.timeout-loop.Clock.Now().Sub(search.arrivedAt))/tick)
+	search.arrivedAt = loop.arrivalOf(search)
+	search.deadline = loop.ticksAt(search.arrivedAt.Add(search.timeout))
 	search.id, search.step = loop.nextID(), 1
 	loop.searches.byID[search.id] = search
-	loop.armStallDetector()
 	loop.holdBytes(search, searchOverheadBytes+len(search.text)+shardRequestOverheadBytes*len(search.shards))
 	loop.balancer.AddSearch(search.id, search.class, search.tenant, search.key, search.deadline-loop.now, search.id, len(search.shards), search.isRetry)
 	loop.addShardRequests(search, search.shards, search.weights)
 }
 
+// arrivalOf returns when a search's request arrived at this machine, since its client counts its time from when it sent the
+// request. That is when the request was read, unless it may have waited unread during a stall. Then it is when the system
+// received it or, if the system does not tell, the earliest time at which it may have arrived.
+func (loop *eventLoop) arrivalOf(search *search) time.Time {
+	readAt := loop.ticksAt(search.arrivedAt)
+	waited := time.Duration(readAt-loop.stalls.earliestArrival(readAt)) * tick
+	if waited > 0 && search.client != nil {
+		if receivedAgo := lastReceivedAgo(search.client.conn); receivedAgo > 0 {
+			readAgo := loop.Clock.Now().Sub(search.arrivedAt)
+			waited = min(waited, max(0, receivedAgo-readAgo))
+		}
+	}
+	return search.arrivedAt.Add(-waited)
+}
+
 // addShardRequests adds the shard requests of a search's step, with as few allocations as possible.
 func (loop *eventLoop) addShardRequests(search *search, shards []int, weights []float64) {
 	from, all := len(search.shardRequests), make([]shardRequest, len(shards))
--- a/coordinator/socket_state.go
+++ b/coordinator/socket_state.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+const tcpStateClosed = 7 // the system's state of a connection that has never been open or was reset
+
 // rawConnOf returns a connection's socket, or nil if it has none or has been closed by this process.
 func rawConnOf(conn net.Conn) syscall.RawConn {
 	socket, ok := conn.(syscall.Conn)
@@ -50,6 +53,22 @@
 	return ended || controlErr != nil
 }
 
+// lastReceivedAgo returns how long ago the system received the last bytes on a connection, read or not, in its resolution
+// of some milliseconds. It returns 0 if that was just now or the system does not tell.
+func lastReceivedAgo(conn net.Conn) (ago time.Duration) {
+	raw := rawConnOf(conn)
+	if raw == nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection, of which nothing is known
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && info.State != tcpStateClosed {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return ago
+}
+
 // nonBlockingRead returns a function that reads from a connection without blocking, or nil if the connection has no socket.
 // It is allocated once for all requests of the connection.
 func nonBlockingRead(conn net.Conn) func(p []byte) (int, error) {
--- a/coordinator/timers.go
+++ b/coordinator/timers.go
@@ -6,22 +6,16 @@
 	"time"
 )
 
-const (
-	maxSpareTimers     = 4096                  // balancer timers kept for reuse: those of a few hundred open searches
-	stallCheckInterval = 50 * time.Millisecond // between checks for a stall while searches are open: a client may have left 0.1 s before a stall is noticed
-	stallThreshold     = 50 * time.Millisecond // lateness of a timer that shows a stalled process: no iteration takes so long
-)
+const maxSpareTimers = 4096 // balancer timers kept for reuse: those of a few hundred open searches
 
 // timerSet holds the event loop's timers.
 type timerSet struct {
-	queue      timerQueue
-	balancer   map[uint64]*balancerTimer // by the balancer's label
-	spare      []*balancerTimer          // stopped, for reuse
-	due        []*timer                  // empty; its array is reused by each iteration
-	alarm      <-chan time.Time          // wakes the event loop, at or before the time of the first timer
-	alarmAt    int64
-	stall      stallDetector
-	caughtUpAt int64 // when sockets were last read before an iteration
+	queue    timerQueue
+	balancer map[uint64]*balancerTimer // by the balancer's label
+	spare    []*balancerTimer          // stopped, for reuse
+	due      []*timer                  // empty; its array is reused by each iteration
+	alarm    <-chan time.Time          // wakes the event loop, at or before the time of the first timer
+	alarmAt  int64
 }
 
 // timer calls its handler at a given time. It may be used again once it has fired or been stopped.
@@ -140,22 +134,3 @@
 	}
 	loop.stopTimer(&balancerTimer.timer)
 }
-
-// stallDetector is a timer that runs while searches are open: its lateness shows how long the process was stalled.
-type stallDetector struct{ timer }
-
-// fire implements timerHandler.
-func (p *stallDetector) fire(loop *eventLoop) {
-	if len(loop.searches.byID) > 0 {
-		loop.startTimer(&p.timer, int64(stallCheckInterval/tick), p)
-	} else {
-		p.handler = nil
-	}
-}
-
-// armStallDetector starts the stall detector unless it is running.
-func (loop *eventLoop) armStallDetector() {
-	if loop.timers.stall.handler == nil {
-		loop.startTimer(&loop.timers.stall.timer, int64(stallCheckInterval/tick), &loop.timers.stall)
-	}
-}
