Apply a list that arrived during a stall before any search, also in an idle process

Cause: the timer by whose lateness a stall is noticed ran only while searches were open, so an idle process did not catch up and took the searches before the list. This commit closes what still depended on chance on that path, and brings the test of the case.

- A catch-up waits until what has arrived from discovery is handed on (0.2 s at the most), not just two rounds of 5 ms.
- Lists have a queue of their own, handled first in an iteration: a full queue of tasks held them back behind searches.
- What is queued after an iteration began waits for the next one, which notices a stall in the middle of the first.
- A call to discovery whose deadline passed in the stall still reads what has arrived.
- What waits for a connection to a draining replica is taken back half the grace after the list may have arrived, not after it was read.

Evidence: TestDrainToldDuringStall fails with the heartbeat stopped while idle (attempts 0.90 s after the list), TestListsGoBeforeSearches with one queue ('the list waits behind the searches'), TestListAnswerIsReadAfterDeadline without the late read, TestDrainCountsFromListArrival with the grace counted from the read; all pass now. Tests of lists and discovery pass with -race.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -89,7 +89,7 @@
 func newEventLoop(ctx context.Context, group *errgroup.Group, initial *plan.Plan, options Options) *eventLoop {
 	loop := &eventLoop{
 		Options: options, log: newAsyncLogger(options.Clock, options.Logger.Handler()), plan: initial, group: group, ctx: ctx,
-		tasks: make(chan func(), maxQueuedTasks), startedAt: options.Clock.Now(), rules: newDispatchRules(initial),
+		tasks: make(chan func(), maxQueuedTasks), updates: make(chan func(), maxQueuedListUpdates), startedAt: options.Clock.Now(), rules: newDispatchRules(initial),
 		timers: timerSet{balancer: map[uint64]*balancerTimer{}},
 		searches: searchTable{
 			byID: map[uint64]*search{}, names: map[string]bool{}, shardRequests: map[uint64]*shardRequest{},
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -8,10 +8,10 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"chalkring/coordinator/plan"
-
 	"chalkring/endpoints"
 	"chalkring/internal/http1"
 )
@@ -32,6 +32,8 @@
 type discoveryRequests struct {
 	polls chan struct{} // the balancer requests a subscription
 	moves chan string   // discovery's new address
+
+	openConn atomic.Pointer[discoveryConn] // of the current call; nil between connections
 }
 
 // discoveryState is what is known of the discovery service at one address.
@@ -107,7 +109,7 @@
 
 // resetBalancerBackoff commits an empty change of the list, which makes the balancer restart its backoff.
 func (loop *eventLoop) resetBalancerBackoff(version float64) {
-	loop.submit(func() { loop.balancer.CommitEndpoints("Partial", int64(version)) })
+	loop.submitListUpdate(func() { loop.balancer.CommitEndpoints("Partial", int64(version)) })
 }
 
 // awaitTurn waits until the next call may begin.
@@ -181,7 +183,7 @@
 		case <-loop.discovery.polls: // left over from an earlier subscription
 		default:
 		}
-		loop.submit(func() { loop.balancer.CommitEndpoints("Error", 0) })
+		loop.submitListUpdate(func() { loop.balancer.CommitEndpoints("Error", 0) })
 		return
 	}
 	if f.pollsAtOnce {
@@ -248,9 +250,12 @@
 func (w *discoveryWatch) callRepeatedly(conn net.Conn) (err error) {
 	buffer := borrowBuffer()
 	defer returnBuffer(buffer)
-	reader := http1.NewReader(conn, (*buffer)[:bufferSize])
+	tracked := newDiscoveryConn(conn)
+	w.loop.discovery.openConn.Store(tracked)
+	defer w.loop.discovery.openConn.Store(nil)
+	reader := http1.NewReader(tracked, (*buffer)[:bufferSize])
 	for keep := true; keep && err == nil; {
-		keep, err = w.call(conn, reader)
+		keep, err = w.call(tracked, reader)
 	}
 	return err
 }
@@ -352,7 +357,7 @@
 		return err
 	}
 	*version = received
-	if !loop.submit(func() { loop.applyEndpointList(how, list) }) {
+	if !loop.submitListUpdate(func() { loop.applyEndpointList(how, list) }) {
 		return errClosing
 	}
 	loop.notifyEndpointList(full, int64(received), list.Hosts)
--- a/coordinator/endpoint_sources.go
+++ b/coordinator/endpoint_sources.go
@@ -68,11 +68,11 @@
 			due = loop.Clock.After(time.Duration(max(at-loop.clockTicks(), 1)) * tick)
 		}
 		changed := false
+		var pending discoveryUpdate
+		var err error
 		select {
-		case pending := <-s.discoveryUpdates:
-			var err error
+		case pending = <-s.discoveryUpdates:
 			changed, err = s.apply(pending.Update)
-			pending.result <- err
 		case update, ok := <-s.updates:
 			if !ok {
 				s.updates = nil
@@ -87,6 +87,9 @@
 		if changed && !s.publish() {
 			return nil
 		}
+		if pending.result != nil { // discovery's answer counts as handled once the event loop has been given the list
+			pending.result <- err
+		}
 	}
 }
 
@@ -137,7 +140,7 @@
 		loop.Persistence.recordList(list, s.registry.Removals(loop.clockTicks()))
 		loop.recordEvent("list", fmt.Sprintf("generation %d, %d hosts", generation, len(hosts)))
 	}
-	ok := loop.submit(func() { loop.commitEndpointList("Complete", generation, hosts, present, steps) })
+	ok := loop.submitListUpdate(func() { loop.commitEndpointList("Complete", generation, hosts, present, steps) })
 	loop.notifyEndpointList(true, generation, hosts)
 	return ok
 }
--- a/coordinator/event_loop.go
+++ b/coordinator/event_loop.go
@@ -16,12 +16,16 @@
 	"chalkring/coordinator/plan"
 )
 
-const maxQueuedTasks = 1024 // tasks waiting for the event loop: several for each descriptor at a usual limit
+const (
+	maxQueuedTasks       = 1024 // tasks waiting for the event loop: several for each descriptor at a usual limit
+	maxQueuedListUpdates = 16   // updates of the endpoint list waiting for it: sources send one after another
+)
 
 // eventLoop owns the balancer and all state of searches, replicas and clients. Only its own goroutine accesses its fields,
 // except for tasks, log, ctx, the discovery requests and atomic fields. Client connections, replica connections and
 // discovery submit tasks to it. It blocks only on tasks and its next timer, so those goroutines may block on it without a
-// deadlock. At most maxQueuedTasks tasks are queued; while the queue is full, sockets are not read.
+// deadlock. At most maxQueuedTasks tasks are queued; while the queue is full, sockets are not read. Updates of the endpoint
+// list have a queue of their own, which goes first.
 type eventLoop struct {
 	Options
 	log      *asyncLogger
@@ -30,6 +34,7 @@
 	group    *errgroup.Group // of all goroutines of the coordinator
 	ctx      context.Context
 	tasks    chan func()
+	updates  chan func() // of the endpoint list
 
 	startedAt  time.Time
 	startTicks int64 // Unix time of the start, in ticks
@@ -84,6 +89,16 @@
 	}
 }
 
+// submitListUpdate queues an update of the endpoint list, which is applied before all queued tasks. Otherwise it is submit.
+func (loop *eventLoop) submitListUpdate(update func()) bool {
+	select {
+	case loop.updates <- update:
+		return true
+	case <-loop.ctx.Done():
+		return false
+	}
+}
+
 // clockTicks returns Unix time in ticks. It is monotonic: wall time is read only at the start.
 func (loop *eventLoop) clockTicks() int64 { return loop.ticksAt(loop.Clock.Now()) }
 
@@ -127,7 +142,7 @@
 	}()
 	for {
 		if len(loop.events.next) > 0 {
-			loop.iterate(nil)
+			loop.iterate(nil, nil)
 			continue
 		}
 		if loop.handleOverdueTimer() {
@@ -142,7 +157,9 @@
 		}
 		select {
 		case task := <-loop.tasks:
-			loop.iterate(task)
+			loop.iterate(nil, task)
+		case update := <-loop.updates:
+			loop.iterate(update, nil)
 		case <-alarm:
 			loop.timers.alarm = nil
 		case <-loop.ctx.Done():
@@ -164,7 +181,7 @@
 		return false
 	}
 	if first != &loop.stalls.heartbeat || !loop.beat() {
-		loop.iterate(nil)
+		loop.iterate(nil, nil)
 	}
 	return true
 }
@@ -183,9 +200,10 @@
 	return clients.listenerClosed && len(clients.connections) == 0 && clients.openFrontends == 0 && len(loop.searches.byID) == 0
 }
 
-// iterate runs one iteration: it handles deferred events, the task first if it is not nil, all queued tasks and all due
-// timers, and then dispatches the batches of attempts that the balancer has sent.
-func (loop *eventLoop) iterate(first func()) {
+// iterate runs one iteration: it applies the queued updates of the endpoint list, handles deferred events, all queued tasks
+// and all due timers, and then dispatches the batches of attempts that the balancer has sent. The update and the task, which
+// may be nil, have been taken off the queues and come first of their kind.
+func (loop *eventLoop) iterate(update, task func()) {
 	hasCaughtUp := loop.noticeStall() && loop.catchUp()
 	began := time.Now()
 	defer func() { loop.busyNanos.Add(int64(time.Since(began))) }()
@@ -198,14 +216,16 @@
 	if loop.enforcer != nil {
 		loop.enforcer.beginIteration()
 	}
+	queued := len(loop.tasks) // what comes later waits for the next iteration, which notices a stall that comes first
+	loop.applyListUpdates(update)
 	if hasCaughtUp {
 		loop.withdrawGoneClients()
 	}
 	loop.runDeferredEvents()
-	if first != nil {
-		first()
+	if task != nil {
+		task()
 	}
-	for n := len(loop.tasks); n > 0; n-- {
+	for range queued {
 		(<-loop.tasks)()
 	}
 	loop.fireDueTimers()
@@ -214,6 +234,17 @@
 	loop.dispatchBatches()
 }
 
+// applyListUpdates applies the updates of the endpoint list: the first, unless it is nil, and all queued ones. They go before
+// all else, so that nothing is decided by a list that was out of date when the iteration began.
+func (loop *eventLoop) applyListUpdates(first func()) {
+	if first != nil {
+		first()
+	}
+	for n := len(loop.updates); n > 0; n-- {
+		(<-loop.updates)()
+	}
+}
+
 // runDeferredEvents handles the events that were deferred to this iteration.
 func (loop *eventLoop) runDeferredEvents() {
 	events := loop.events.next
--- a/coordinator/list_delay_test.go
+++ b/coordinator/list_delay_test.go
@@ -318,7 +318,8 @@
 				group, work := errgroup.WithContext(ctx)
 				loop := &eventLoop{
 					group: group, ctx: work, discovery: discoveryRequests{polls: make(chan struct{}, 1), moves: make(chan string)}, tasks: make(chan func(), maxQueuedTasks),
-					log: newAsyncLogger(clock, slog.DiscardHandler), plan: &plan.Plan{Seed: int64(i), Settings: map[string]string{
+					updates: make(chan func(), maxQueuedListUpdates),
+					log:     newAsyncLogger(clock, slog.DiscardHandler), plan: &plan.Plan{Seed: int64(i), Settings: map[string]string{
 						"Discovery": mode,
 						"Balancers": fmt.Sprint(n),
 					}, Known: plan.EndpointList{Version: 1}},
@@ -336,6 +337,8 @@
 						select {
 						case do := <-loop.tasks:
 							do()
+						case do := <-loop.updates:
+							do()
 						case <-work.Done():
 							return nil
 						}
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -53,13 +53,15 @@
 			loop.retireConnection(conn)
 		}
 	}
-	if isClosed := isRemoved || isDraining; isClosed && !current.closedToNew || hasMoved && len(current.connections) > 0 {
-		loop.recallAfterGrace(current)
-	}
-	current.addr, current.removed, current.closedToNew = addr, isRemoved, isRemoved || isDraining
+	isClosed := isRemoved || isDraining
+	mustRecall := isClosed && !current.closedToNew || hasMoved && len(current.connections) > 0
+	current.addr, current.removed, current.closedToNew = addr, isRemoved, isClosed
 	if !isRemoved {
 		current.protocol = protocol
 	}
+	if mustRecall {
+		loop.recallAfterGrace(current)
+	}
 	loop.forgetReplica(current)
 }
 
@@ -72,19 +74,29 @@
 
 // recallAfterGrace takes back attempts that have not yet been sent to a draining, removed or moved replica, once
 // drainSendShare of the drain grace is over and they may no longer be sent. Until then, batches go on waiting for their
-// connections, since most come up in time: recalling them at once would cost each shard request an attempt.
+// connections, since most come up in time: recalling them at once would cost each shard request an attempt. The grace counts
+// from when the list may have arrived, which after a stall was long ago.
 func (loop *eventLoop) recallAfterGrace(replica *replica) {
 	grace := float64(loop.plan.Duration("Safety.DrainGrace") / tick)
-	loop.runAfter(int64(drainSendShare*grace), func() {
-		for _, conn := range slices.Clone(replica.connections) {
-			if !replica.closedToNew && !conn.closedToNew {
-				continue
-			}
-			for _, attempt := range slices.Clone(conn.attempts) {
-				if attempt.batch != nil {
-					loop.recallBatch(attempt.batch, nil)
-				}
+	left := int64(drainSendShare*grace) - (loop.now - loop.stalls.earliestArrival(loop.now))
+	if left <= 0 {
+		loop.recallUnsent(replica)
+		return
+	}
+	loop.runAfter(left, func() { loop.recallUnsent(replica) })
+}
+
+// recallUnsent takes back the attempts on a replica's connections that have not been sent, unless the replica takes new
+// ones again.
+func (loop *eventLoop) recallUnsent(replica *replica) {
+	for _, conn := range slices.Clone(replica.connections) {
+		if !replica.closedToNew && !conn.closedToNew {
+			continue
+		}
+		for _, attempt := range slices.Clone(conn.attempts) {
+			if attempt.batch != nil {
+				loop.recallBatch(attempt.batch, nil)
 			}
 		}
-	})
+	}
 }
--- a/coordinator/socket_state.go
+++ b/coordinator/socket_state.go
@@ -40,17 +40,25 @@
 }
 
 // hasHungUp reports whether the client has closed its side of the connection, as far as the system knows.
-func (c *clientConnection) hasHungUp() (ended bool) {
-	raw := rawConnOf(c.conn)
+func (c *clientConnection) hasHungUp() bool { return pollSocket(c.conn, unix.POLLRDHUP) != 0 }
+
+// pollSocket returns which of the given poll events a connection's socket has now, POLLHUP and POLLERR included. It returns
+// POLLHUP if this process has closed the connection, and 0 if the connection has no socket.
+func pollSocket(conn net.Conn, events int16) (found int16) {
+	raw := rawConnOf(conn)
 	if raw == nil {
-		return false
+		return 0
 	}
 	controlErr := raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(fds, 0); err == nil && n > 0 {
+			found = fds[0].Revents & (events | unix.POLLHUP | unix.POLLERR)
+		}
 	})
-	return ended || controlErr != nil
+	if controlErr != nil {
+		return unix.POLLHUP
+	}
+	return found
 }
 
 // lastReceivedAgo returns how long ago the system received the last bytes on a connection, read or not, in its resolution
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -8,7 +8,8 @@
 
 const (
 	catchUpWait     = 5 * time.Millisecond   // for sockets to be read before an iteration after a stall; decoding a long list takes several milliseconds
-	maxCatchUpWaits = 10                     // such waits in a row; tasks that keep arriving after them are not a backlog of the stall
+	maxCatchUpWaits = 10                     // such waits in a row for tasks; those that keep arriving after them are not a backlog of the stall
+	maxListWaits    = 40                     // such waits in a row for an answer of discovery that has arrived to be applied
 	catchUpInterval = 250 * time.Millisecond // between two catch-ups, so that they do not delay an overloaded process further
 
 	stallCheckInterval = 50 * time.Millisecond // between two heartbeats: a client may have left 0.1 s before a stall is noticed
@@ -92,7 +93,7 @@
 	if loop.clockTicks()-loop.stalls.caughtUpAt < int64(catchUpInterval/tick) {
 		return false
 	}
-	for queued, waits := -1, 0; queued != len(loop.tasks) && waits < maxCatchUpWaits; waits++ {
+	for queued, waits := -1, 0; loop.isBehind(queued, waits); waits++ {
 		queued = len(loop.tasks)
 		select {
 		case <-loop.Clock.After(catchUpWait):
@@ -104,3 +105,12 @@
 	loop.stalls.lastStall.Store(&stall{from: stalled.from, until: loop.stalls.caughtUpAt})
 	return true
 }
+
+// isBehind reports whether messages that arrived during a stall may still be unread, after so many waits of a catch-up and
+// with so many tasks queued before the last one.
+func (loop *eventLoop) isBehind(queuedBefore, waits int) bool {
+	if waits < maxCatchUpWaits && len(loop.tasks) != queuedBefore {
+		return true
+	}
+	return waits < maxListWaits && loop.ctx.Err() == nil && loop.discovery.hasNews()
+}
--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +14,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chalkring/coordinator/plan"
+	"chalkring/endpoints"
+	"chalkring/internal/fake"
 	"chalkring/internal/http1"
 )
 
@@ -21,6 +25,7 @@
 	socketSlack = 50 * time.Millisecond  // by which each limit is longer on sockets
 	heldUpSlack = 150 * time.Millisecond // for which a process may be held up between reading its clock and writing
 	lateSlack   = 500 * time.Millisecond // after its time in which a final answer is late; after it, the search is lost
+	drainGrace  = 250 * time.Millisecond // of testSettings
 )
 
 // suspend suspends the process and returns once it no longer runs.
@@ -214,3 +219,181 @@
 	loop.stalls.lastStall.Store(&stall{from: loop.ticksAt(now.Add(-receivedBefore / 3)), until: loop.ticksAt(now)})
 	require.Equal(t, receivedBefore/3, arrivalOn(serverSide), "what arrived before the stall has been read before it")
 }
+
+// listWith returns the endpoint list with one host in another state.
+func (l *childProcess) listWith(hostID, state string) []fake.Endpoint {
+	list := slices.Clone(l.endpoints)
+	for i := range list {
+		if list[i].ID == hostID {
+			list[i].State = state
+		}
+	}
+	return list
+}
+
+// A process without open searches is suspended, is told that a host drains, and then gets searches: once it goes on, it
+// sends that host nothing. Guards against a stall that an idle process does not notice, and against searches that are
+// handled before a list that arrived before them.
+func TestDrainToldDuringStall(t *testing.T) {
+	t.Parallel()
+	l := newChildProcess(t)
+	l.start(nil)
+	l.ready()
+	l.served("before")
+	for _, endpoint := range l.endpoints {
+		conns, readers := make([]net.Conn, 2), make([]*http1.Reader, 2)
+		ask := func(i int, searchName string) {
+			_, err := conns[i].Write([]byte(request(fmt.Sprint(searchName, "-", endpoint.ID, "-", i), "all", "", fourParts)))
+			require.NoError(t, err)
+		}
+		answered := func(i int) {
+			status, _, _, _, err := readers[i].ReadResponse()
+			require.NoError(t, err, "%s", l.log)
+			require.Equal(t, 200, status)
+		}
+		for i := range conns {
+			conns[i], readers[i] = l.dial()
+			ask(i, "first")
+			answered(i)
+		}
+		time.Sleep(500 * time.Millisecond)
+		attempts := l.recordAttempts(false)
+		l.suspend()
+		suspendedAt := time.Now()
+		l.discovery.SetEndpoints(l.listWith(endpoint.ID, "draining"))
+		toldAt := time.Now()
+		time.Sleep(time.Until(suspendedAt.Add(400 * time.Millisecond)))
+		for i := range conns {
+			ask(i, "second")
+		}
+		time.Sleep(time.Until(suspendedAt.Add(stallLength)))
+		l.resume()
+		for i := range conns {
+			answered(i)
+		}
+		for _, attempt := range attempts.received("") {
+			if after := attempt.at.Sub(toldAt); attempt.host == endpoint.ID && after > drainGrace+socketSlack+heldUpSlack {
+				t.Errorf("attempt %s came to %s %v after the list that says that it drains\n%s", attempt.ID, attempt.host, after, l.log)
+			}
+		}
+		l.discovery.SetEndpoints(l.endpoints)
+		time.Sleep(100 * time.Millisecond) // for the list to be applied
+	}
+}
+
+// A list arrives while an idle process is suspended for longer than its call may take: it is in force before searches that
+// came after it. Guards against a stall that is not noticed, and against a list that counts as never received.
+func TestListThatArrivesDuringLongStall(t *testing.T) {
+	t.Parallel()
+	l := newChildProcess(t)
+	l.start(nil)
+	l.ready()
+	l.served("before")
+	l.suspend()
+	l.discovery.SetEndpoints(l.listWith("a0", "draining"))
+	time.Sleep(2*watchInterval + watchAnswerSlack) // the deadline of the call that is open
+	attempts := l.recordAttempts(false)
+	for i := range 4 {
+		conn, _ := l.dial()
+		_, err := conn.Write([]byte(request(fmt.Sprint("during", i), "all", "", fourParts)))
+		require.NoError(t, err)
+	}
+	l.resume()
+	l.eventually("shard requests are sent", func() bool { return len(attempts.received("")) == 16 })
+	for _, attempt := range attempts.received("") {
+		require.NotEqual(t, "a0", attempt.host, "%s\n%s", attempt.ID, l.log)
+	}
+}
+
+// An answer of discovery that has arrived is read after its call's deadline too; then reads time out. Guards against a list
+// that is dropped unread because the process stalled until the deadline had passed.
+func TestListAnswerIsReadAfterDeadline(t *testing.T) {
+	listener := listen(t)
+	ownSide, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer ownSide.Close()
+	discoverySide, err := listener.Accept()
+	require.NoError(t, err)
+	defer discoverySide.Close()
+	_, err = discoverySide.Write([]byte("answer"))
+	require.NoError(t, err)
+	awaitArrival(t, ownSide.(*net.TCPConn))
+
+	conn, buffer := newDiscoveryConn(ownSide), make([]byte, 16)
+	require.True(t, conn.hasNews(), "it is unread")
+	conn.SetDeadline(time.Now().Add(-time.Second))
+	n, err := conn.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(buffer[:n]))
+	require.True(t, conn.hasNews(), "it is not handed on yet")
+	_, err = conn.Read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	go func() { _, _ = conn.Read(buffer) }()
+	require.Eventually(t, func() bool { return !conn.hasNews() }, testTimeout, time.Millisecond, "the reader has come back for more")
+}
+
+// A list is applied before the searches that wait for the event loop, also if these came first and fill its queue, from
+// discovery alone and merged with other sources. Guards against searches that are sent to a host which drains by a list
+// that had arrived.
+func TestListsGoBeforeSearches(t *testing.T) {
+	for name, updates := range map[string]chan endpoints.Update{"of discovery": nil, "of several sources": make(chan endpoints.Update)} {
+		t.Run(name, func(t *testing.T) {
+			r := startWithOptions(t, nil, 256, nil, nil, nil, func(m *Options) {
+				if updates != nil {
+					m.EndpointUpdates = updates
+				}
+			})
+			<-r.list.Targets
+			gate, isBlocked := make(chan struct{}), make(chan struct{})
+			r.loop.submit(func() { close(isBlocked); <-gate })
+			<-isBlocked
+			var clients []*testClient
+			for i := range 8 {
+				clients = append(clients, r.connect().send(request(fmt.Sprint("q", i), "all", "", fourParts)))
+			}
+			r.eventually("the searches wait for the event loop", func() bool { return len(r.loop.tasks) >= 2*len(clients) })
+			for len(r.loop.tasks) < maxQueuedTasks {
+				r.loop.submit(func() {})
+			}
+			r.list.Responses <- fmt.Sprintf(`{"version":8,"full":false,"servers":[%s]}`, r.entry("a0", "draining"))
+			select {
+			case <-r.list.Targets: // the next call, so the list has been handed on
+			case <-time.After(time.Second):
+				t.Error("the list waits behind the searches")
+			}
+			close(gate)
+			for _, client := range clients {
+				status, _, _, _ := client.readAnswer()
+				require.Equal(t, 200, status)
+			}
+			require.Zero(t, r.replicas["a0"].CountRequests(), r.log)
+			r.shutDown()
+		})
+	}
+}
+
+// What waits for a connection to a host that drains is taken back half the grace after the list may have arrived: at once if
+// the list was read after a long stall. Guards against attempts that go out a stall and half the grace after a drain was told.
+func TestDrainCountsFromListArrival(t *testing.T) {
+	for name, hasStalled := range map[string]bool{"read as it came": false, "read after a stall": true} {
+		t.Run(name, func(t *testing.T) {
+			loop, conn, search := oneAttemptInFlight(stageQueued)
+			waiting := search.shardRequests[0].attempts[0]
+			loop.plan = &plan.Plan{Settings: map[string]string{"Safety.DrainGrace": "250"}}
+			loop.now = int64(time.Minute / tick)
+			loop.stalls.lastRunAt.Store(loop.now)
+			if hasStalled {
+				loop.stalls.lastStall.Store(&stall{from: loop.now - int64(stallLength/tick), until: loop.now})
+			}
+			conn.replica.connections = []*replicaConnection{conn}
+			loop.replicas.byID = map[string]*replica{"a0": conn.replica}
+			loop.placeReplica("a0", "", "", 0, false, true)
+			require.Equal(t, hasStalled, waiting.batch == nil, "taken back at once")
+			if !hasStalled {
+				require.Len(t, loop.timers.queue.timers, 1)
+				require.Equal(t, loop.now+int64(drainGrace/2/tick), loop.timers.queue.timers[0].at)
+			}
+		})
+	}
+}
