Send nothing that was queued before a stall until the event loop has caught up

Cause: a queue lies between the event loop's decision and the write. What was in it at the stop was written by the connection's goroutine as soon as it went on, while the event loop still let sockets be read: for clients that had left, to replicas that drained, with the time left of before.

What remains: a process suspended between that look and the write, some microseconds.

Evidence: TestWritesWaitForEventLoopAfterStall fails without the wait, TestUnsentBatchesAreRenewedAfterStall without the encoding.

--- a/coordinator/event_loop.go
+++ b/coordinator/event_loop.go
@@ -211,7 +211,6 @@
 	if loop.now == loop.replicas.lastDispatchAt { // the balancer distinguishes the batches of two iterations by time
 		loop.now++
 	}
-	loop.stalls.lastRunAt.Store(loop.now)
 	loop.balancer.BeginIteration(loop.now)
 	if loop.enforcer != nil {
 		loop.enforcer.beginIteration()
@@ -229,6 +228,10 @@
 		(<-loop.tasks)()
 	}
 	loop.fireDueTimers()
+	if hasCaughtUp {
+		loop.renewUnsentBatches()
+	}
+	loop.stalls.lastRunAt.Store(loop.now) // from here on, writers may send what the event loop has left in their queues
 	loop.balancer.SetUtilization(float64(loop.searches.heldBytes+loop.searches.unsentBytes.Load()) / loop.searches.memoryLimit)
 	loop.balancer.EndIteration()
 	loop.dispatchBatches()
--- a/coordinator/message_conn.go
+++ b/coordinator/message_conn.go
@@ -47,6 +47,7 @@
 	end   context.CancelCauseFunc
 	ctx   context.Context
 
+	awaitEventLoop   func(context.Context)    // is called before each write, and returns once the event loop knows of any stall of the process; nil if writes need not wait
 	leaseExpired     func() bool              // checked for each leaseFenced message; nil if there are none
 	clockTicks       func() int64             // checked for each message with a deadline; nil if there are none
 	deadlines        sync.Map                 // by message: the time by which its write has to begin
@@ -100,6 +101,9 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			case message := <-l.queue:
+				if l.awaitEventLoop != nil {
+					l.awaitEventLoop(ctx)
+				}
 				if ctx.Err() != nil { // no write may begin after the reader has seen the connection's end
 					return ctx.Err()
 				}
--- a/coordinator/replica_connection.go
+++ b/coordinator/replica_connection.go
@@ -41,7 +41,7 @@
 // openConnection begins to open a connection; batches that it is given wait until it is up.
 func (loop *eventLoop) openConnection(replica *replica) *replicaConnection {
 	connection := &replicaConnection{messageConn: newMessageConn(loop.ctx, replicaQueueSize), replica: replica, protocol: replica.protocol, usedAt: loop.now}
-	connection.log, connection.clockTicks = loop.log, loop.clockTicks
+	connection.log, connection.clockTicks, connection.awaitEventLoop = loop.log, loop.clockTicks, loop.awaitCatchUp
 	connection.onMissedDeadline = func(message *outboundMessage) { loop.submit(func() { loop.handleMissedDeadline(connection, message) }) }
 	replica.connections = append(replica.connections, connection)
 	loop.descriptors.replicaConnections++
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -2,6 +2,9 @@
 
 import (
 	"container/heap"
+	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -22,8 +25,8 @@
 // processor. All times are ticks of the event loop's clock. Only the event loop changes it; other goroutines may read the
 // atomic fields.
 type stallTracker struct {
-	heartbeat  timer // runs all the time: its lateness shows that the process stalled, also when it had nothing to do
-	lastRunAt  atomic.Int64
+	heartbeat  timer                 // runs all the time: its lateness shows that the process stalled, also when it had nothing to do
+	lastRunAt  atomic.Int64          // 0 before the start
 	lastStall  atomic.Pointer[stall] // nil before the first stall
 	caughtUpAt int64                 // when sockets were last read before an iteration
 }
@@ -40,13 +43,19 @@
 	switch {
 	case last != nil && readAt >= last.from && readAt <= last.until+int64(lateReadMargin/tick):
 		return last.from
-	case readAt-lastRunAt > int64((stallCheckInterval+stallThreshold)/tick): // not noticed yet
+	case isStall(lastRunAt, readAt): // not noticed yet
 		return lastRunAt
 	default:
 		return readAt
 	}
 }
 
+// isStall reports whether the process may have stalled if its event loop has not run between two times; lastRunAt is 0
+// before its start.
+func isStall(lastRunAt, now int64) bool {
+	return lastRunAt > 0 && now-lastRunAt > int64((stallCheckInterval+stallThreshold)/tick)
+}
+
 // startHeartbeat starts the heartbeat, which goes on until the event loop ends.
 func (loop *eventLoop) startHeartbeat() {
 	loop.stalls.lastRunAt.Store(loop.now)
@@ -114,3 +123,36 @@
 	}
 	return waits < maxListWaits && loop.ctx.Err() == nil && loop.discovery.hasNews()
 }
+
+// awaitCatchUp returns at once unless the process may have stalled since the event loop last ran. Then it returns once the
+// event loop has caught up, or when ctx is done. Writers call it before they send attempts, which were decided on before the
+// stall: the event loop takes back those that may no longer be sent.
+func (loop *eventLoop) awaitCatchUp(ctx context.Context) {
+	for isStall(loop.stalls.lastRunAt.Load(), loop.clockTicks()) {
+		hasRun := make(chan struct{})
+		if !loop.submit(func() { close(hasRun) }) {
+			return
+		}
+		select {
+		case <-hasRun:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// renewUnsentBatches encodes the batches anew that were decided on before a stall and are not sent yet: they state the time
+// that their clients had left before it.
+func (loop *eventLoop) renewUnsentBatches() {
+	for _, hostID := range slices.Sorted(maps.Keys(loop.replicas.byID)) {
+		for _, conn := range loop.replicas.byID[hostID].connections {
+			for _, attempt := range slices.Clone(conn.attempts) {
+				batch := attempt.batch
+				isFirst := batch != nil && batch.attempts[0] == attempt
+				if isFirst && batch.message.buffer != nil && batch.message.recall() {
+					loop.queueBatch(batch)
+				}
+			}
+		}
+	}
+}
--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -17,6 +17,7 @@
 	"chalkring/coordinator/plan"
 	"chalkring/endpoints"
 	"chalkring/internal/fake"
+	"chalkring/internal/frame"
 	"chalkring/internal/http1"
 )
 
@@ -397,3 +398,72 @@
 		})
 	}
 }
+
+// While the event loop has not run for long, nothing is written to hosts: it may take back what is queued. Guards against
+// attempts that were queued when the process was suspended and are sent when it goes on, though their clients have left.
+func TestWritesWaitForEventLoopAfterStall(t *testing.T) {
+	r := start(t, 256, nil)
+	r.connect().expect("first", "all", 200, completeAnswer)
+	messages, stages := map[string]*outboundMessage{}, map[string]int32{}
+	r.runInLoop(func(loop *eventLoop) {
+		time.Sleep(2 * (stallCheckInterval + stallThreshold))
+		for hostID, replica := range loop.replicas.byID {
+			for _, conn := range replica.connections {
+				buffer := borrowBuffer()
+				*buffer = frame.AppendCancel(*buffer, "late.0")
+				messages[hostID] = &outboundMessage{buffer: buffer}
+				conn.enqueue(messages[hostID])
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		for hostID, message := range messages {
+			if stages[hostID] = message.stage.Load(); hostID[0] == 'a' {
+				message.recall()
+			}
+		}
+	})
+	require.NotEmpty(t, messages)
+	for hostID, stage := range stages {
+		require.Equal(t, stageQueued, stage, hostID)
+	}
+	for hostID, message := range messages {
+		if hostID[0] == 'a' {
+			continue
+		}
+		r.eventually("the event loop runs, and messages are written", func() bool { return message.stage.Load() == stageWritten })
+		r.eventually("the message arrives", func() bool {
+			_, canceled, _, _ := r.replicas[hostID].Observed()
+			return slices.Contains(canceled, "late.0")
+		})
+	}
+	for _, hostID := range []string{"a0", "a1"} {
+		_, canceled, _, _ := r.replicas[hostID].Observed()
+		require.Empty(t, canceled)
+	}
+	r.shutDown()
+}
+
+// A batch that was queued before a stall and is not sent yet is encoded anew after it. Guards against a frame that states
+// the time that its client had left before the stall.
+func TestUnsentBatchesAreRenewedAfterStall(t *testing.T) {
+	for stage, isRenewed := range map[int32]bool{stageQueued: true, stageWriting: false, stageWritten: false} {
+		loop, conn, search := oneAttemptInFlight(stage)
+		loop.replicas.byID = map[string]*replica{"a0": conn.replica}
+		conn.replica.connections, conn.connectedAt = []*replicaConnection{conn}, 1
+		current := search.shardRequests[0].attempts[0]
+		before := current.batch.message
+		text := []byte("encoded before the stall")
+		before.buffer, current.deadline = &text, 10_000
+		loop.now = 9000
+		loop.renewUnsentBatches()
+		require.Equal(t, isRenewed, before != current.batch.message, "stage %d", stage)
+		if !isRenewed {
+			require.Equal(t, stage, before.stage.Load())
+			require.Empty(t, conn.queue)
+			continue
+		}
+		require.Equal(t, stageRecalled, before.stage.Load())
+		require.Same(t, current.batch.message, <-conn.queue)
+		require.Contains(t, string(*current.batch.message.buffer), " d=100 ")
+	}
+}
