Count the time until SIGKILL from a SIGTERM that came during a stall

Callers would see: final answers after SIGKILL may come, so none, for requests after a SIGTERM that came while the process was suspended.

Change: shutDown counts from the earliest time at which the signal may have come (stallTracker.earliestArrival).

--- a/coordinator/search.go
+++ b/coordinator/search.go
@@ -126,8 +126,7 @@
 // request. That is when the request was read, unless it may have waited unread during a stall. Then it is when the system
 // received it or, if the system does not tell, the earliest time at which it may have arrived.
 func (loop *eventLoop) arrivalOf(search *search) time.Time {
-	readAt := loop.ticksAt(search.arrivedAt)
-	waited := time.Duration(readAt-loop.stalls.earliestArrival(readAt)) * tick
+	waited := search.arrivedAt.Sub(loop.earliestArrivalAt(search.arrivedAt))
 	if waited > 0 && search.client != nil {
 		if receivedAgo := lastReceivedAgo(search.client.conn); receivedAgo > 0 {
 			readAgo := loop.Clock.Now().Sub(search.arrivedAt)
--- a/coordinator/shutdown.go
+++ b/coordinator/shutdown.go
@@ -30,7 +30,8 @@
 		loop.Listener.Close()
 		return nil
 	}
-	by := loop.Clock.Now().Add(loop.plan.TerminationGrace() - killMargin)
+	toldAt := loop.earliestArrivalAt(loop.Clock.Now()) // the platform counts its time from SIGTERM, which may have come during a stall
+	by := toldAt.Add(loop.plan.TerminationGrace() - killMargin)
 	loop.stop.answerDeadline.Store(&by)
 	loop.log.Info("stopping", "name", loop.plan.Name)
 	select {
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -56,6 +56,12 @@
 	return lastRunAt > 0 && now-lastRunAt > int64((stallCheckInterval+stallThreshold)/tick)
 }
 
+// earliestArrivalAt is the tracker's earliestArrival for a time of the clock. Any goroutine may call it.
+func (loop *eventLoop) earliestArrivalAt(readAt time.Time) time.Time {
+	ticks := loop.ticksAt(readAt)
+	return readAt.Add(-time.Duration(ticks-loop.stalls.earliestArrival(ticks)) * tick)
+}
+
 // startHeartbeat starts the heartbeat, which goes on until the event loop ends.
 func (loop *eventLoop) startHeartbeat() {
 	loop.stalls.lastRunAt.Store(loop.now)
--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -467,3 +467,34 @@
 		require.Contains(t, string(*current.batch.message.buffer), " d=100 ")
 	}
 }
+
+// SIGTERM comes while the process is suspended: the platform counts the time until SIGKILL from then on, and so does the
+// process when it goes on. Guards against final answers that are due only after SIGKILL.
+func TestAnswersBeforeSIGKILLAfterStall(t *testing.T) {
+	t.Parallel()
+	l := newChildProcess(t)
+	l.start(nil)
+	l.ready()
+	conn, reader := l.dial()
+	_, err := conn.Write([]byte(request("before", "all", "", fourParts)))
+	require.NoError(t, err)
+	_, _, _, _, err = reader.ReadResponse()
+	require.NoError(t, err)
+	l.recordAttempts(true)
+	l.suspend()
+	suspendedAt := time.Now()
+	l.signal(syscall.SIGTERM)
+	kill := suspendedAt.Add(plan.MaxTerminationGrace)
+	time.Sleep(stallLength)
+	l.resume()
+	l.logged("event=stopping")
+	time.Sleep(catchUpInterval) // the request is not taken for one that came during the stall
+	_, err = conn.Write([]byte(request("late", "all", "", fourParts)))
+	require.NoError(t, err)
+	status, _, _, _, err := reader.ReadResponse()
+	require.NoError(t, err)
+	require.Contains(t, []int{500, 503}, status)
+	require.True(t, time.Now().Before(kill), "the answer came %v after SIGKILL", time.Since(kill))
+	conn.Close()
+	l.waitForExit(0)
+}
