Count a request's time from its arrival where its connection waited for room

Callers would see: a request whose connection waited for a free descriptor had its final answer late by up to that wait.

Change: acceptQueue knows since when connections may have waited in the system's queue; a first request read up to 0.1 s after the wait counts from when the system received it, else from then. And a receive time of 0 ms is believed from a system that has told others: before, a request that came right after a stall counted from the stall's start, which sheds it early.

Evidence: TestTimeOfRequestThatWaitsForRoom fails without the change, TestAcceptQueue holds the bookkeeping, TestArrivalAfterStall the belief.

--- a/coordinator/client_connection.go
+++ b/coordinator/client_connection.go
@@ -33,6 +33,7 @@
 	readAvailable     func(p []byte) (int, error) // reads without blocking; nil if the connection does not support it
 	firstDeadline     time.Time                   // for the first request; zero once it has been read
 	requestDeadline   time.Time                   // for the request being read; zero between requests
+	unread            stall                       // while it waited for room, in which its first request may have arrived; zero if it did not wait
 	lastSearch        *search                     // nil before the first search
 	awaitingAnswer    bool
 	stopReadDeadline  time.Time // for the next request during shutdown; zero if none is set
@@ -181,6 +182,11 @@
 	c.setReadDeadline(c.requestDeadline)
 	method, target, head, body, keep, err := c.reader.ReadRequest()
 	arrivedAt := c.loop.Clock.Now()
+	if readAt := c.loop.ticksAt(arrivedAt); c.unread.mayHaveHeld(readAt) {
+		waited := time.Duration(readAt-c.unread.from) * tick
+		arrivedAt = c.loop.arrivalBetween(arrivedAt.Add(-waited), arrivedAt, c.conn)
+	}
+	c.unread = stall{}
 	c.firstDeadline, c.stopReadDeadline, c.extendedOnce = time.Time{}, time.Time{}, false
 	if err == nil {
 		c.limiter.markBusy(c)
--- a/coordinator/client_listener.go
+++ b/coordinator/client_listener.go
@@ -41,8 +41,12 @@
 // accept accepts clients' connections until the listener is closed.
 func (f *clientListener) accept() error {
 	loop := f.loop
+	var queue acceptQueue
 	for acceptedOne := false; ; { // acceptedOne: since the listener's last deadline
+		calledAt := loop.Clock.Now()
 		conn, err := loop.Listener.Accept()
+		acceptedAt := loop.Clock.Now()
+		queue.accepted(calledAt, acceptedAt)
 		if errors.Is(err, os.ErrDeadlineExceeded) { // see acceptLast
 			// Waiting for room may have taken longer than the deadline, so further connections may have arrived, which the
 			// close would reset.
@@ -67,16 +71,10 @@
 			continue
 		}
 		acceptedOne = true
-		client := &clientConnection{
-			clientListener: f, messageConn: newMessageConn(loop.ctx, clientQueueSize), conn: conn,
-			answered: make(chan struct{}, 1),
-		}
-		client.log = loop.log
-		if !f.limiter.admit(client, loop.ctx.Done()) {
-			conn.Close()
+		client := f.admit(conn, acceptedAt, &queue)
+		if client == nil {
 			return nil
 		}
-		client.firstDeadline = time.Now().Add(requestReadTimeout) // waiting for room does not count
 		loop.submit(func() { loop.clients.connections[client.messageConn] = true })
 		loop.group.Go(func() error {
 			f.serveClient(client)
@@ -85,6 +83,27 @@
 	}
 }
 
+// admit waits until there is room for an accepted connection. It returns nil, and closes the connection, if the coordinator
+// ends meanwhile.
+func (f *clientListener) admit(conn net.Conn, acceptedAt time.Time, queue *acceptQueue) *clientConnection {
+	loop := f.loop
+	client := &clientConnection{
+		clientListener: f, messageConn: newMessageConn(loop.ctx, clientQueueSize), conn: conn,
+		answered: make(chan struct{}, 1),
+	}
+	client.log = loop.log
+	if !f.limiter.admit(client, loop.ctx.Done()) {
+		conn.Close()
+		return nil
+	}
+	admittedAt := loop.Clock.Now()
+	if since := queue.admitted(acceptedAt, admittedAt); !since.IsZero() {
+		client.unread = stall{from: loop.ticksAt(since), until: loop.ticksAt(admittedAt)}
+	}
+	client.firstDeadline = time.Now().Add(requestReadTimeout) // waiting for room does not count
+	return client
+}
+
 // serveClient serves a client's connection until it ends, and then releases what it holds.
 func (f *clientListener) serveClient(client *clientConnection) {
 	loop := f.loop
--- a/coordinator/search.go
+++ b/coordinator/search.go
@@ -123,17 +123,13 @@
 }
 
 // arrivalOf returns when a search's request arrived at this machine, since its client counts its time from when it sent the
-// request. That is when the request was read, unless it may have waited unread during a stall. Then it is when the system
-// received it or, if the system does not tell, the earliest time at which it may have arrived.
+// request. That is when the request was read, unless it may have waited unread during a stall.
 func (loop *eventLoop) arrivalOf(search *search) time.Time {
-	waited := search.arrivedAt.Sub(loop.earliestArrivalAt(search.arrivedAt))
-	if waited > 0 && search.client != nil {
-		if receivedAgo := lastReceivedAgo(search.client.conn); receivedAgo > 0 {
-			readAgo := loop.Clock.Now().Sub(search.arrivedAt)
-			waited = min(waited, max(0, receivedAgo-readAgo))
-		}
+	earliest := loop.earliestArrivalAt(search.arrivedAt)
+	if search.client == nil || !earliest.Before(search.arrivedAt) {
+		return earliest
 	}
-	return search.arrivedAt.Add(-waited)
+	return loop.arrivalBetween(earliest, search.arrivedAt, search.client.conn)
 }
 
 // addShardRequests adds the shard requests of a search's step, with as few allocations as possible.
--- a/coordinator/socket_state.go
+++ b/coordinator/socket_state.go
@@ -62,19 +62,20 @@
 }
 
 // lastReceivedAgo returns how long ago the system received the last bytes on a connection, read or not, in its resolution
-// of some milliseconds. It returns 0 if that was just now or the system does not tell.
-func lastReceivedAgo(conn net.Conn) (ago time.Duration) {
+// of some milliseconds. ok is false if the connection has no open socket or the system does not tell. Some systems tell 0
+// for any time.
+func lastReceivedAgo(conn net.Conn) (ago time.Duration, ok bool) {
 	raw := rawConnOf(conn)
 	if raw == nil {
-		return 0
+		return 0, false
 	}
 	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection, of which nothing is known
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil && info.State != tcpStateClosed {
-			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+			ago, ok = time.Duration(info.Last_data_recv)*time.Millisecond, true
 		}
 	})
-	return ago
+	return ago, ok
 }
 
 // nonBlockingRead returns a function that reads from a connection without blocking, or nil if the connection has no socket.
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -29,19 +30,26 @@
 	lastRunAt  atomic.Int64          // 0 before the start
 	lastStall  atomic.Pointer[stall] // nil before the first stall
 	caughtUpAt int64                 // when sockets were last read before an iteration
+
+	tellsReceiveTimes atomic.Bool // the system has told when it received bytes, so that 0 means just now
 }
 
-// stall is a time in which the process may not have run at all. A message that was read soon after it may have arrived at
-// any time during it.
+// stall is a time in which the process may not have read a socket, in ticks. A message that was read soon after it may have
+// arrived at any time during it.
 type stall struct{ from, until int64 }
 
+// mayHaveHeld reports whether a message that was read at the given time may have arrived during the stall.
+func (s stall) mayHaveHeld(readAt int64) bool {
+	return readAt >= s.from && readAt <= s.until+int64(lateReadMargin/tick)
+}
+
 // earliestArrival returns the earliest time at which a message may have arrived that was read at the given time: the time
 // of the read itself or, if it followed a stall, the stall's start. Any goroutine may call it.
 func (s *stallTracker) earliestArrival(readAt int64) int64 {
 	lastRunAt := s.lastRunAt.Load() // first: if the event loop notices a stall meanwhile, lastStall has it
 	last := s.lastStall.Load()
 	switch {
-	case last != nil && readAt >= last.from && readAt <= last.until+int64(lateReadMargin/tick):
+	case last != nil && last.mayHaveHeld(readAt):
 		return last.from
 	case isStall(lastRunAt, readAt): // not noticed yet
 		return lastRunAt
@@ -62,6 +70,27 @@
 	return readAt.Add(-time.Duration(ticks-loop.stalls.earliestArrival(ticks)) * tick)
 }
 
+// arrivalBetween returns when the last bytes arrived that were read from a connection, if that was between two times: when
+// the system received them or, if the system does not tell, the earliest of these times. Any goroutine may call it.
+func (loop *eventLoop) arrivalBetween(earliest, latest time.Time, conn net.Conn) time.Time {
+	receivedAgo, ok := lastReceivedAgo(conn)
+	if receivedAgo > 0 {
+		loop.stalls.tellsReceiveTimes.Store(true)
+	}
+	if !ok || !loop.stalls.tellsReceiveTimes.Load() {
+		return earliest
+	}
+	receivedAt := loop.Clock.Now().Add(-receivedAgo)
+	switch {
+	case receivedAt.Before(earliest):
+		return earliest
+	case receivedAt.After(latest):
+		return latest
+	default:
+		return receivedAt
+	}
+}
+
 // startHeartbeat starts the heartbeat, which goes on until the event loop ends.
 func (loop *eventLoop) startHeartbeat() {
 	loop.stalls.lastRunAt.Store(loop.now)
--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -219,6 +219,20 @@
 	require.Equal(t, stallLength, now.Sub(loop.arrivalOf(&search{arrivedAt: now})), "a search of another frontend")
 	loop.stalls.lastStall.Store(&stall{from: loop.ticksAt(now.Add(-receivedBefore / 3)), until: loop.ticksAt(now)})
 	require.Equal(t, receivedBefore/3, arrivalOn(serverSide), "what arrived before the stall has been read before it")
+
+	// Bytes that came just now, in the system's words 0 ms ago. That is believed from a system that has told other times.
+	loop.stalls.lastStall.Store(&stall{from: loop.ticksAt(now.Add(-stallLength)), until: loop.ticksAt(now.Add(stallLength))})
+	_, err = clientSide.Write([]byte("again"))
+	require.NoError(t, err)
+	readAt := time.Now()
+	arrivalNow := func() time.Duration {
+		return readAt.Sub(loop.arrivalOf(&search{arrivedAt: readAt, client: &clientConnection{conn: serverSide}}))
+	}
+	require.Less(t, arrivalNow(), receivedBefore/2)
+	loop.stalls.tellsReceiveTimes.Store(false)
+	if ago, _ := lastReceivedAgo(serverSide); ago == 0 {
+		require.GreaterOrEqual(t, arrivalNow(), stallLength, "the system may not tell")
+	}
 }
 
 // listWith returns the endpoint list with one host in another state.
@@ -498,3 +512,61 @@
 	conn.Close()
 	l.waitForExit(0)
 }
+
+// A connection may have waited as long as the one before it waited for room, unless the system's queue was found empty since.
+func TestAcceptQueue(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	var queue acceptQueue
+	for _, step := range []struct {
+		called, accepted, admitted int // milliseconds
+		wantSince                  int // milliseconds, 0 for none
+	}{
+		{called: 1, accepted: 1, admitted: 1},
+		{called: 1, accepted: 50, admitted: 400, wantSince: 50},
+		{called: 400, accepted: 400, admitted: 400, wantSince: 50}, // it queued behind the one before
+		{called: 400, accepted: 401, admitted: 700, wantSince: 50},
+		{called: 700, accepted: 720, admitted: 720}, // it came when the queue was empty
+		{called: 720, accepted: 720, admitted: 800, wantSince: 720},
+		{called: 1801, accepted: 1801, admitted: 1801}, // long after the wait
+	} {
+		queue.accepted(at(step.called), at(step.accepted))
+		since := queue.admitted(at(step.accepted), at(step.admitted))
+		if step.wantSince == 0 {
+			require.True(t, since.IsZero(), "%+v", step)
+		} else {
+			require.Equal(t, at(step.wantSince), since, "%+v", step)
+		}
+	}
+}
+
+// A request that arrives while its connection waits for room counts from when it arrived, and one that comes after the wait
+// from then. Guards against a final answer that comes up to the length of that wait after its client's time.
+func TestTimeOfRequestThatWaitsForRoom(t *testing.T) {
+	t.Parallel()
+	const patience = 1600 * time.Millisecond
+	r := start(t, 16, nil)
+	r.setHandlers(func(receivedRequest) {})
+	var busy []*testClient
+	for i := range 8 { // takes all the room
+		busy = append(busy, r.connect().send(request(fmt.Sprint("busy", i), "all", "", fourParts)))
+	}
+	r.eventually("shard requests are sent", func() bool { return r.parts() == 4*len(busy) })
+	impatient := func(searchName string) string {
+		return strings.Replace(request(searchName, "all", "", fourParts), "X-Deadline: 8.000", fmt.Sprintf("X-Deadline: %.3f", patience.Seconds()), 1)
+	}
+	waiting, quiet := r.connect().send(impatient("waiting")), r.connect()
+	sentAt := time.Now()
+	time.Sleep(stallLength)
+	for _, client := range busy[:2] {
+		client.Close()
+	}
+	waiting.readAnswer()
+	late := time.Since(sentAt) - patience
+	require.LessOrEqual(t, late, lateSlack+socketSlack+heldUpSlack)
+	quiet.send(impatient("after-the-wait"))
+	sentAt = time.Now()
+	quiet.readAnswer()
+	require.Greater(t, time.Since(sentAt), patience-stallLength/2, "it has its full time")
+	r.shutDown()
+}
