Tests: child processes listen on addresses of their own

Cause: newChildProcess took a free port of 127.0.0.1 and gave it back before its process listened there. Another life could get the same port; the health check was then answered by that life, and the searches went to it. Evidence: the one life of 240 of TestClientsThatLeaveDuringStall that failed beside load ('shard requests are sent', 20 s) has address_in_use in its log and serves 2.3 s later, after its searches were sent. Change: each process has an IP address of loopback of its own, so no listener or connection can take its port.

--- a/coordinator/child_process_test.go
+++ b/coordinator/child_process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -139,6 +140,18 @@
 	return held
 }
 
+// freeAddress returns an address on loopback where nothing listens, with an IP address of its own: no other listener and no
+// connection can take its port before the process listens there.
+func freeAddress(t *testing.T) string {
+	id, n := os.Getpid(), childProcessCount.Add(1)
+	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+id>>8%64, id%256, 1+n%254))
+	require.NoError(t, err)
+	defer free.Close()
+	return free.Addr().String()
+}
+
+var childProcessCount atomic.Int64 // of this test binary
+
 // newChildProcess prepares a process without starting it.
 func newChildProcess(t *testing.T) *childProcess {
 	l := &childProcess{t: t, file: filepath.Join(t.TempDir(), "plan.json")}
@@ -153,9 +166,7 @@
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	l.discovery = d
-	free := listen(t)
-	l.addr = free.Addr().String()
-	free.Close()
+	l.addr = freeAddress(t)
 	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":256},"known":%s,"settings":%s}`, l.addr, d.Listener.Addr(), d.KnownEndpoints(), testSettings)
 	require.NoError(t, json.Unmarshal([]byte(text), &l.plan))
