--- a/coordinator/client_connection_test.go
+++ b/coordinator/client_connection_test.go
@@ -86,13 +86,7 @@
 // The connection of a client that never finishes its request is closed after a bounded time. A read that was interrupted
 // before its deadline continues, and bytes that have arrived by the deadline are still read.
 func TestSlowClient(t *testing.T) {
-	ln := listen(t)
-	clientSide, err := net.Dial("tcp", ln.Addr().String())
-	require.NoError(t, err)
-	defer clientSide.Close()
-	serverSide, err := ln.Accept()
-	require.NoError(t, err)
-	defer serverSide.Close()
+	clientSide, serverSide := tcpPair(t)
 	send := func() {
 		_, err := clientSide.Write([]byte("x"))
 		require.NoError(t, err)
--- a/coordinator/event_loop.go
+++ b/coordinator/event_loop.go
@@ -80,19 +80,16 @@
 
 // submit queues a task for the event loop and returns false if the coordinator has ended. It blocks while maxQueuedTasks
 // tasks are queued. Any goroutine except the event loop's may call it.
-func (loop *eventLoop) submit(task func()) bool {
-	select {
-	case loop.tasks <- task:
-		return true
-	case <-loop.ctx.Done():
-		return false
-	}
-}
+func (loop *eventLoop) submit(task func()) bool { return loop.submitTo(loop.tasks, task) }
 
 // submitListUpdate queues an update of the endpoint list, which is applied before all queued tasks. Otherwise it is submit.
 func (loop *eventLoop) submitListUpdate(update func()) bool {
+	return loop.submitTo(loop.updates, update)
+}
+
+func (loop *eventLoop) submitTo(queue chan<- func(), task func()) bool {
 	select {
-	case loop.updates <- update:
+	case queue <- task:
 		return true
 	case <-loop.ctx.Done():
 		return false
--- a/coordinator/rig_test.go
+++ b/coordinator/rig_test.go
@@ -128,6 +128,18 @@
 	return ln
 }
 
+// tcpPair returns both sides of a connection over loopback: the one that dialed and the one that accepted.
+func tcpPair(t *testing.T) (dialed, accepted net.Conn) {
+	ln := listen(t)
+	dialed, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { dialed.Close() })
+	accepted, err = ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { accepted.Close() })
+	return dialed, accepted
+}
+
 // entry returns a replica's entry of an endpoint list, as discovery sends it.
 func (r *rig) entry(hostID, state string) string {
 	s := r.replicas[hostID]
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -23,8 +23,8 @@
 )
 
 // stallTracker knows when the event loop last ran and when the process last stalled, that is, was suspended or got no
-// processor. All times are ticks of the event loop's clock. Only the event loop changes it; other goroutines may read the
-// atomic fields.
+// processor. All times are ticks of the event loop's clock. Only the event loop changes it, except for tellsReceiveTimes; any
+// goroutine may read the atomic fields.
 type stallTracker struct {
 	heartbeat  timer                 // runs all the time: its lateness shows that the process stalled, also when it had nothing to do
 	lastRunAt  atomic.Int64          // 0 before the start
--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -192,14 +192,8 @@
 // tell.
 func TestArrivalAfterStall(t *testing.T) {
 	const receivedBefore = 300 * time.Millisecond
-	listener := listen(t)
-	clientSide, err := net.Dial("tcp", listener.Addr().String())
-	require.NoError(t, err)
-	defer clientSide.Close()
-	serverSide, err := listener.Accept()
-	require.NoError(t, err)
-	defer serverSide.Close()
-	_, err = clientSide.Write([]byte("request"))
+	clientSide, serverSide := tcpPair(t)
+	_, err := clientSide.Write([]byte("request"))
 	require.NoError(t, err)
 	time.Sleep(receivedBefore)
 
@@ -323,14 +317,8 @@
 // An answer of discovery that has arrived is read after its call's deadline too; then reads time out. Guards against a list
 // that is dropped unread because the process stalled until the deadline had passed.
 func TestListAnswerIsReadAfterDeadline(t *testing.T) {
-	listener := listen(t)
-	ownSide, err := net.Dial("tcp", listener.Addr().String())
-	require.NoError(t, err)
-	defer ownSide.Close()
-	discoverySide, err := listener.Accept()
-	require.NoError(t, err)
-	defer discoverySide.Close()
-	_, err = discoverySide.Write([]byte("answer"))
+	ownSide, discoverySide := tcpPair(t)
+	_, err := discoverySide.Write([]byte("answer"))
 	require.NoError(t, err)
 	awaitArrival(t, ownSide.(*net.TCPConn))
 
