Count a pipelined request's time during shutdown from when it was read

Callers would see: during shutdown a request sent behind another on its connection had its final answer late by up to the time that the one ahead of it took.

Change: a client's connection keeps when bytes of a pipelined request were read; a request for which nothing more is read counts from then.

--- a/coordinator/client_connection.go
+++ b/coordinator/client_connection.go
@@ -34,6 +34,9 @@
 	firstDeadline     time.Time                   // for the first request; zero once it has been read
 	requestDeadline   time.Time                   // for the request being read; zero between requests
 	unread            stall                       // while it waited for room, in which its first request may have arrived; zero if it did not wait
+	reads             int                         // that returned bytes
+	bufferedAt        time.Time                   // when the bytes of a pipelined request were read, those up to bufferedReads
+	bufferedReads     int                         // the value of reads then
 	lastSearch        *search                     // nil before the first search
 	awaitingAnswer    bool
 	stopReadDeadline  time.Time // for the next request during shutdown; zero if none is set
@@ -62,12 +65,15 @@
 			return 0, errNextRequest
 		}
 		n, err := c.conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, err
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if n, err = c.handleReadDeadline(p); n == 0 && err == nil {
+				continue
+			}
 		}
-		if n, err := c.handleReadDeadline(p); n > 0 || err != nil {
-			return n, err
+		if n > 0 {
+			c.reads++
 		}
+		return n, err
 	}
 }
 
@@ -153,6 +159,7 @@
 		return connectionEndOf(err)
 	}
 	if c.isAwaitingAnswer() {
+		c.noteBuffered()
 		next := c.handlePipelined
 		if c.loop.isStopping() {
 			next = c.awaitPreviousAnswer
@@ -182,6 +189,9 @@
 	c.setReadDeadline(c.requestDeadline)
 	method, target, head, body, keep, err := c.reader.ReadRequest()
 	arrivedAt := c.loop.Clock.Now()
+	if c.reads == c.bufferedReads { // all of it was read while the one before was open
+		arrivedAt = c.bufferedAt
+	}
 	if readAt := c.loop.ticksAt(arrivedAt); c.unread.mayHaveHeld(readAt) {
 		waited := time.Duration(readAt-c.unread.from) * tick
 		arrivedAt = c.loop.arrivalBetween(arrivedAt.Add(-waited), arrivedAt, c.conn)
@@ -233,6 +243,13 @@
 	return c.awaitAnswer(ctx)
 }
 
+// noteBuffered records when bytes of a pipelined request were read, unless they came with those recorded before.
+func (c *clientConnection) noteBuffered() {
+	if c.reads != c.bufferedReads {
+		c.bufferedAt, c.bufferedReads = c.loop.Clock.Now(), c.reads
+	}
+}
+
 // awaitPreviousAnswer is called when, during shutdown, bytes of the next request arrive before the previous one is
 // answered. It waits for that answer, after which the next request is served, since the client may have sent it before
 // learning of the shutdown. Meanwhile it reads ahead as far as the buffer has room, and so notices when the client closes
@@ -247,6 +264,7 @@
 		case err != nil && !errors.Is(err, errNextRequest):
 			return err
 		}
+		c.noteBuffered()
 	}
 	if c.lastAnswerWritten.Load() {
 		return errClosing
--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -501,6 +501,35 @@
 	l.waitForExit(0)
 }
 
+// A request that comes during shutdown before the answer to the one ahead of it counts from when it came, not from when it is
+// its turn. Guards against a final answer that comes up to the length of that wait after its client's time.
+func TestTimeOfRequestBehindAnother(t *testing.T) {
+	t.Parallel()
+	const patience = 1600 * time.Millisecond
+	r := start(t, 256, nil)
+	held := make(chan receivedRequest, 16)
+	r.setHandlers(func(a receivedRequest) { held <- a })
+	client := r.connect().send(request("ahead", "all", "", fourParts))
+	r.eventually("shard requests are sent", func() bool { return len(held) == 4 })
+	r.stop()
+	r.logged("event=stopping")
+	for _, searchName := range []string{"behind", "last"} {
+		client.send(strings.Replace(request(searchName, "all", "", fourParts), "X-Deadline: 8.000", fmt.Sprintf("X-Deadline: %.3f", patience.Seconds()), 1))
+	}
+	sentAt := time.Now()
+	time.Sleep(stallLength)
+	for range 4 {
+		(<-held).ReplyGood()
+	}
+	status, _, _, _ := client.readAnswer()
+	require.Equal(t, 200, status)
+	for range 2 {
+		client.readAnswer()
+		require.LessOrEqual(t, time.Since(sentAt)-patience, lateSlack+socketSlack+heldUpSlack)
+	}
+	r.shutDown()
+}
+
 // A connection may have waited as long as the one before it waited for room, unless the system's queue was found empty since.
 func TestAcceptQueue(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
