--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -192,14 +192,8 @@
 // tell.
 func TestArrivalAfterStall(t *testing.T) {
 	const receivedBefore = 300 * time.Millisecond
-	listener := listen(t)
-	clientSide, err := net.Dial("tcp", listener.Addr().String())
-	require.NoError(t, err)
-	defer clientSide.Close()
-	serverSide, err := listener.Accept()
-	require.NoError(t, err)
-	defer serverSide.Close()
-	_, err = clientSide.Write([]byte("request"))
+	clientSide, serverSide := tcpPair(t)
+	_, err := clientSide.Write([]byte("request"))
 	require.NoError(t, err)
 	time.Sleep(receivedBefore)
 
@@ -323,14 +317,8 @@
 // An answer of discovery that has arrived is read after its call's deadline too; then reads time out. Guards against a list
 // that is dropped unread because the process stalled until the deadline had passed.
 func TestListAnswerIsReadAfterDeadline(t *testing.T) {
-	listener := listen(t)
-	ownSide, err := net.Dial("tcp", listener.Addr().String())
-	require.NoError(t, err)
-	defer ownSide.Close()
-	discoverySide, err := listener.Accept()
-	require.NoError(t, err)
-	defer discoverySide.Close()
-	_, err = discoverySide.Write([]byte("answer"))
+	ownSide, discoverySide := tcpPair(t)
+	_, err := discoverySide.Write([]byte("answer"))
 	require.NoError(t, err)
 	awaitArrival(t, ownSide.(*net.TCPConn))
 
@@ -513,6 +501,35 @@
 	l.waitForExit(0)
 }
 
+// A request that comes during shutdown before the answer to the one ahead of it counts from when it came, not from when it is
+// its turn. Guards against a final answer that comes up to the length of that wait after its client's time.
+func TestTimeOfRequestBehindAnother(t *testing.T) {
+	t.Parallel()
+	const patience = 1600 * time.Millisecond
+	r := start(t, 256, nil)
+	held := make(chan receivedRequest, 16)
+	r.setHandlers(func(a receivedRequest) { held <- a })
+	client := r.connect().send(request("ahead", "all", "", fourParts))
+	r.eventually("shard requests are sent", func() bool { return len(held) == 4 })
+	r.stop()
+	r.logged("event=stopping")
+	for _, searchName := range []string{"behind", "last"} {
+		client.send(strings.Replace(request(searchName, "all", "", fourParts), "X-Deadline: 8.000", fmt.Sprintf("X-Deadline: %.3f", patience.Seconds()), 1))
+	}
+	sentAt := time.Now()
+	time.Sleep(stallLength)
+	for range 4 {
+		(<-held).ReplyGood()
+	}
+	status, _, _, _ := client.readAnswer()
+	require.Equal(t, 200, status)
+	for range 2 {
+		client.readAnswer()
+		require.LessOrEqual(t, time.Since(sentAt)-patience, lateSlack+socketSlack+heldUpSlack)
+	}
+	r.shutDown()
+}
+
 // A connection may have waited as long as the one before it waited for room, unless the system's queue was found empty since.
 func TestAcceptQueue(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
