Tests: guard the catch-up's wait for lists, and idle stalls without help of other timers

Cause: read once more with each mend undone. The wait of a catch-up for discovery's answer had no test that failed without it.

Change: TestCatchUpWaitsForList is new; the other two wait for four heartbeats before the stall. No code changes. Evidence: without the wait for lists the new test fails in both cases; with the heartbeat stopped while idle both others fail (an attempt at the draining host; no line `stalled`). All three pass with -race.

--- a/coordinator/stall_test.go
+++ b/coordinator/stall_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -49,6 +50,7 @@
 	l := newChildProcess(t)
 	l.start(nil)
 	l.ready()
+	time.Sleep(4 * stallCheckInterval) // a timer of the start does not show the stall
 	l.suspend()
 	time.Sleep(400 * time.Millisecond)
 	l.resume()
@@ -298,6 +300,7 @@
 	l.start(nil)
 	l.ready()
 	l.served("before")
+	time.Sleep(4 * stallCheckInterval) // a timer of the start or the search does not show the stall
 	l.suspend()
 	l.discovery.SetEndpoints(l.listWith("a0", "draining"))
 	time.Sleep(2*watchInterval + watchAnswerSlack) // the deadline of the call that is open
@@ -336,6 +339,38 @@
 	require.Eventually(t, func() bool { return !conn.hasNews() }, testTimeout, time.Millisecond, "the reader has come back for more")
 }
 
+// A catch-up ends only once what has arrived from discovery has been read and handed on, or after maxListWaits. Guards against
+// searches that are decided before a list that takes longer to read than the tasks of the stall.
+func TestCatchUpWaitsForList(t *testing.T) {
+	for name, isRead := range map[string]bool{"that is read late": true, "that is never read": false} {
+		t.Run(name, func(t *testing.T) {
+			ownSide, discoverySide := tcpPair(t)
+			_, err := discoverySide.Write([]byte("answer"))
+			require.NoError(t, err)
+			awaitArrival(t, ownSide.(*net.TCPConn))
+			conn, began := newDiscoveryConn(ownSide), time.Now()
+			loop := &eventLoop{Options: Options{Clock: SystemClock{}}, ctx: t.Context(), startedAt: began.Add(-time.Minute)}
+			loop.stalls.lastStall.Store(&stall{})
+			loop.discovery.openConn.Store(conn)
+			var isHandedOn atomic.Bool
+			if isRead {
+				go func() {
+					time.Sleep(10 * catchUpWait)
+					_, _ = conn.Read(make([]byte, 16))
+					time.Sleep(5 * catchUpWait) // as if it were decoded
+					isHandedOn.Store(true)
+					_, _ = conn.Read(make([]byte, 16))
+				}()
+			}
+			require.True(t, loop.catchUp())
+			require.Equal(t, isRead, isHandedOn.Load())
+			if !isRead {
+				require.GreaterOrEqual(t, time.Since(began), maxListWaits*catchUpWait)
+			}
+		})
+	}
+}
+
 // A list is applied before the searches that wait for the event loop, also if these came first and fill its queue, from
 // discovery alone and merged with other sources. Guards against searches that are sent to a host which drains by a list
 // that had arrived.
