--- /dev/null
+++ b/coordinator/hostile_clients_test.go
@@ -0,0 +1,113 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	fleet "chalkring/internal/clustertest"
+	"chalkring/internal/fake"
+)
+
+const (
+	soakSeedsVariable = "CHALKRING_SOAK_SEEDS" // how many seeds TestOtherClientsDuringHostileOnes plays; hostileSeeds if it is empty
+	soakFirstVariable = "CHALKRING_SOAK_FIRST" // the first of them; 1 if it is empty
+
+	hostileSeeds   = 4
+	hostileLength  = 8 * time.Second
+	clientPatience = 2 * time.Second
+	lateAnswer     = 500 * time.Millisecond // after a client's time, from which a search counts as lost
+	leastServed    = 0.5                    // of the searches of clients that behave
+	searchRate     = 20.0                   // searches a second of clients that behave
+)
+
+// envNumber returns the number in an environment variable, or a default if it is not set.
+func envNumber(t *testing.T, name string, otherwise int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err, name)
+	return n
+}
+
+// hostileRun is what clients saw while hostile ones were there.
+type hostileRun struct {
+	searches, served, lost int
+	slowest                time.Duration
+	peakMemory             int64
+}
+
+// playHostileClients plays hostile clients against a process with the least limits of the platform, beside clients that behave.
+func playHostileClients(t *testing.T, seed int64, crowds []fake.HostileCrowd, length time.Duration) (run hostileRun) {
+	limits := fleet.LeastLimits
+	cluster := startProcess(t, func(s *fleet.Config) { s.Seed, s.Limits = seed, limits })
+	ctx, cancel := context.WithCancel(context.Background())
+	var beside sync.WaitGroup
+	beside.Go(func() { _ = cluster.EnforceCores(ctx, "n", limits.Cores) })
+	defer func() {
+		cancel()
+		beside.Wait()
+	}()
+	beside.Go(func() {
+		fake.PlayHostileCrowds(ctx, seed, cluster.Addresses("n").Client, "quick-picks", crowds)
+	})
+	for _, result := range cluster.PlaySearches(ctx, cluster.DrawSearches(seed, fmt.Sprint("s", seed), searchRate, length, clientPatience, "acme", "other")) {
+		run.searches++
+		run.slowest = max(run.slowest, result.Latency)
+		switch {
+		case result.Status == 0 || result.Latency > clientPatience+lateAnswer:
+			run.lost++
+			t.Logf("seed %d: lost: %s after %v: status %d, %+v", seed, result.ID, result.Latency, result.Status, result.Attempts)
+		case result.Status == 200:
+			run.served++
+		}
+	}
+	require.NoError(t, syscall.Kill(cluster.PID("n"), 0), "the process has ended\n%s", cluster.Log("n"))
+	peak, err := cluster.PeakMemory("n")
+	require.NoError(t, err)
+	run.peakMemory = peak
+	return run
+}
+
+// Guards against hostile clients that use up the process's memory or processor: at the least limits, whatever kinds of them come, the
+// process stays within its memory, and each search of other clients gets its final answer.
+func TestOtherClientsDuringHostileOnes(t *testing.T) {
+	first := envNumber(t, soakFirstVariable, 1)
+	for seed := first; seed < first+envNumber(t, soakSeedsVariable, hostileSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			crowds := fake.DrawHostileCrowds(int64(seed), hostileLength)
+			run := playHostileClients(t, int64(seed), crowds, hostileLength)
+			t.Logf("%v: %+v", crowds, run)
+			require.Zero(t, run.lost)
+			require.GreaterOrEqual(t, float64(run.served), leastServed*float64(run.searches))
+			require.LessOrEqual(t, run.peakMemory, int64(fleet.LeastLimits.MemoryMB)<<20)
+		})
+	}
+}
+
+// Guards against a kind of hostile client that alone uses up the process's memory or processor.
+func TestOtherClientsDuringEachKindOfHostileOnes(t *testing.T) {
+	const length = 4 * time.Second
+	for _, kind := range fake.HostileKinds {
+		t.Run(kind.Name, func(t *testing.T) {
+			crowd := fake.HostileCrowd{Kind: kind, Clients: 12, Length: length}
+			if kind.Crowd {
+				crowd.Clients = 450
+			}
+			run := playHostileClients(t, 1, []fake.HostileCrowd{crowd}, length)
+			t.Logf("%+v", run)
+			require.Zero(t, run.lost)
+			require.GreaterOrEqual(t, float64(run.served), leastServed*float64(run.searches))
+			require.LessOrEqual(t, run.peakMemory, int64(fleet.LeastLimits.MemoryMB)<<20)
+		})
+	}
+}
--- a/internal/clustertest/rig.go
+++ b/internal/clustertest/rig.go
@@ -51,6 +51,7 @@
 	External         map[string]string                // further addresses that instances reach through relays, by name
 	DiscoveryAddress string                           // address of discovery; the rig's own, which Tell changes, where it is empty
 	Settings         map[string]any                   // of the plan; Settings(...) where nil
+	Limits           Limits                           // of the plan; defaultLimits where zero
 	InstallationFile func(w InstanceAddresses) string // text of the installation file; none is given to the program where nil or empty
 }
 
@@ -256,9 +257,10 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1.0,"memory_mb":192,`+
-		`"sockets":1024},"known":%s,"settings":%s}`, i.wired.Name, i.wired.Client, list, uint64(r.shape.Seed)<<8+uint64(k)+1,
-		i.list.KnownEndpoints(), settings)
+	limits := cmp.Or(r.shape.Limits, defaultLimits)
+	text := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":%g,"memory_mb":%d,`+
+		`"sockets":%d},"known":%s,"settings":%s}`, i.wired.Name, i.wired.Client, list, uint64(r.shape.Seed)<<8+uint64(k)+1,
+		limits.Cores, limits.MemoryMB, limits.Sockets, i.list.KnownEndpoints(), settings)
 	if err := r.WriteFile(i.wired.Name, "plan.json", text); err != nil || r.shape.InstallationFile == nil {
 		return err
 	}
