Limit the fields of a head and the size lines of a chunked body

Cause: a head is limited to 8 KiB, but not in its fields. 2,700 fields of three bytes make a map of some 180 KB, which the connection keeps for its next head: 450 such clients took 84 MB, and 72 of 77 searches of others were lost. Repeated fields are joined again and again, and a chunked body of single bytes costs a size line for each.

A head and trailers have at most 100 fields (431), the size lines of a body at most 64 KiB together (413), which still lets 13,000 chunks of a byte through.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -10,6 +10,13 @@
 // maxBodyBytes is the longest body that the service's protocol allows.
 const maxBodyBytes = 64 << 10
 
+// maxFramingBytes is how long the size lines and line ends of a chunked body may be together: as long as the body itself,
+// so that single bytes of data cannot cost many times their number.
+const maxFramingBytes = 64 << 10
+
+// chunkLineEnds is the length of the two line ends of a chunk.
+const chunkLineEnds = 4
+
 // hasBody reports whether the header fields announce a body. A response that announces none may still have one, which
 // lasts until the end of the stream.
 func hasBody(fields map[string]string) bool {
@@ -103,12 +110,15 @@
 // contents of the buffer.
 func (r *Reader) readChunks() ([]byte, error) {
 	body := []byte{}
-	for {
+	for framingBytesLeft := maxFramingBytes; ; {
 		r.headBytesLeft = maxHeadBytes
 		line, err := r.readLine()
 		if err != nil {
 			return nil, err
 		}
+		if framingBytesLeft -= len(line) + chunkLineEnds; framingBytesLeft < 0 {
+			return nil, invalidMessage(statusContentTooLarge, "chunked body with size lines of over %d bytes", maxFramingBytes)
+		}
 		size, _, _ := strings.Cut(line, ";")
 		n, err := parseLength(strings.TrimRight(size, " \t"), 16)
 		if err != nil {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -9,6 +9,10 @@
 // size line and the trailers of a body. Servers commonly accept heads of this length.
 const maxHeadBytes = 8 << 10
 
+// maxHeadFields is the maximum number of header lines of a head, and of trailers. Without it, a head of very short fields
+// would take many times its length in memory.
+const maxHeadFields = 100
+
 // Names of the header fields that this package interprets, in lower case like the keys of the field maps.
 const (
 	fieldHost             = "host"
@@ -79,7 +83,7 @@
 	}
 	fields := r.fields
 	clear(fields)
-	for {
+	for count := 0; ; count++ {
 		line, err := r.readLine()
 		if err != nil {
 			return nil, err
@@ -88,6 +92,9 @@
 			r.head = ""
 			return fields, nil
 		}
+		if count == maxHeadFields {
+			return nil, invalidMessage(statusHeadTooLarge, "head of over %d fields", maxHeadFields)
+		}
 		name, value, err := parseField(line)
 		if err != nil {
 			return nil, err
