Bound what the requests of all clients hold and cost together

Cause: every limit was one connection's. 563 connections times a 16 KiB buffer, three goroutines and a body of 64 KiB are far over 32 MB; the Go runtime's limit of 0.75 of the plan's did not know of the 17 MB of the program itself. All goroutines got the processor in turn, so the event loop waited for as many parses as there were hostile clients.

Evidence: 450 clients that stop in a body took 65 MB; profiles showed half of the processor's time in scanning stacks and parsing; 12 clients with heads of many fields made searches 2.8 s late.

Change: package ingress decides, without I/O, who reads next and what may be held. One turn at a time for each core; turns of clients that were served go first, those of new ones, of accepting and of clients that were refused have shares of the granted cores. Requests beyond 4 KiB of each connection share a part of the memory; one that finds none takes the place of the largest unfinished one, which gets 503. A connection has no buffer while it waits and a writing goroutine only while it writes. The reader looks at the socket before it reads and before a search is dispatched: a client that has closed is noticed behind unread bytes, and what follows a request is refused before the search is sent. Connections are limited by memory too.

Two tests call writeCoalesced without an argument that is gone.

--- a/coordinator/attempts_test.go
+++ b/coordinator/attempts_test.go
@@ -203,7 +203,7 @@
 		}
 		var out strings.Builder
 		<-conn.queue // the cancel frame
-		require.NoError(t, conn.writeCoalesced(writes{to: &out}, <-conn.queue, new([]*outboundMessage), func(*outboundMessage) error { return nil }))
+		require.NoError(t, conn.writeCoalesced(writes{to: &out}, <-conn.queue, func(*outboundMessage) error { return nil }))
 		require.Equal(t, want, current.message.stage.Load(), "late: %t", late)
 		require.Equal(t, !late, out.Len() > 0)
 		if late {
--- a/coordinator/client_answer.go
+++ b/coordinator/client_answer.go
@@ -15,6 +15,12 @@
 func (c *clientConnection) writeAnswer(outcome searchOutcome, keep bool) {
 	c.pendingWrites = append(c.pendingWrites, outcome.pendingWrites...)
 	switch outcome.outcome {
+	case outcomeAnswered:
+		c.share.standing.recordServed()
+	case outcomeDuplicateID, outcomeShed:
+		c.share.standing.recordUnserved()
+	}
+	switch outcome.outcome {
 	case outcomeDuplicateID:
 		c.respond(409, "", []byte("{}"), keep)
 	case outcomeResidencyRefused:
@@ -51,7 +57,7 @@
 // respond sends a response.
 func (c *clientConnection) respond(status int, extra string, body []byte, keep bool) {
 	keep, last := c.keepAlive(keep)
-	buffer := borrowBuffer()
+	buffer := borrowBufferOf(responseHeadRoom + len(body))
 	*buffer = http1.AppendResponse(*buffer, status, extra, body, keep)
 	c.sendAnswer(&outboundMessage{buffer: buffer, closesConnection: last})
 }
--- a/coordinator/client_connection.go
+++ b/coordinator/client_connection.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"net"
-	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +18,8 @@
 	finalReadGrace     = 50 * time.Millisecond   // for one more read after a read timeout, since the bytes may have arrived already
 	stopIdleTimeout    = time.Second             // after which, during shutdown, a connection without a request is closed; its client has had time to close it
 	lingerTimeout      = time.Second             // for a client to read its last answer and close the connection
-	maxLingerBytes     = 256 << 10               // bytes read during lingerTimeout: four bodies of the maximum size
+	discardBufferSize  = 4 << 10
+	maxLingerBytes     = 256 << 10 // bytes read during lingerTimeout: four bodies of the maximum size
 )
 
 // clientConnection is one client's connection. Its fields belong to the reading goroutine, except for atomic ones and
@@ -30,14 +31,18 @@
 	requestBegun      bool          // the first bytes of a request have been read; owned by the limiter
 	conn              net.Conn
 	reader            *http1.Reader
-	readAvailable     func(p []byte) (int, error) // reads without blocking; nil if the connection does not support it
-	firstDeadline     time.Time                   // for the first request; zero once it has been read
-	requestDeadline   time.Time                   // for the request being read; zero between requests
-	unread            stall                       // while it waited for room, in which its first request may have arrived; zero if it did not wait
-	reads             int                         // that returned bytes
-	bufferedAt        time.Time                   // when the bytes of a pipelined request were read, those up to bufferedReads
-	bufferedReads     int                         // the value of reads then
-	lastSearch        *search                     // nil before the first search
+	readiness         *readiness // nil if the connection's socket is not known
+	bytesReady        bool       // Read returns at once
+	pastDeadline      bool       // the next read has to be without blocking, since the deadline has passed
+	share             clientShare
+	evicted           atomic.Bool // the request that is arriving has to make room for others
+	firstDeadline     time.Time   // for the first request; zero once it has been read
+	requestDeadline   time.Time   // for the request being read; zero between requests
+	unread            stall       // while it waited for room, in which its first request may have arrived; zero if it did not wait
+	reads             int         // that returned bytes
+	bufferedAt        time.Time   // when the bytes of a pipelined request were read, those up to bufferedReads
+	bufferedReads     int         // the value of reads then
+	lastSearch        *search     // nil before the first search
 	awaitingAnswer    bool
 	stopReadDeadline  time.Time // for the next request during shutdown; zero if none is set
 	extendedOnce      bool      // finalReadGrace has been used since the last request
@@ -58,60 +63,6 @@
 	return c.awaitingAnswer
 }
 
-// Read implements io.Reader. It continues after read deadlines that other goroutines have set only to wake it.
-func (c *clientConnection) Read(p []byte) (int, error) {
-	for {
-		if c.hasPipelined.Load() && !c.isAwaitingAnswer() {
-			return 0, errNextRequest
-		}
-		n, err := c.conn.Read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-			if n, err = c.handleReadDeadline(p); n == 0 && err == nil {
-				continue
-			}
-		}
-		if n > 0 {
-			c.reads++
-		}
-		return n, err
-	}
-}
-
-// handleReadDeadline decides how to proceed after an expired read deadline. It returns bytes that could still be read,
-// or an error that ends the connection, or neither after setting a new deadline to continue reading.
-func (c *clientConnection) handleReadDeadline(p []byte) (int, error) {
-	now, isReading := time.Now(), !c.requestDeadline.IsZero()
-	switch {
-	case c.lastAnswerWritten.Load() && !now.Before(c.requestDeadline):
-		return 0, errClosing
-	case c.askedToLeave.Load() && !c.hasPipelined.Load(): // pipelined requests are handled first
-		// A connection must not be closed to make room while a request that has arrived on it is still unread.
-		if c.readAvailable != nil {
-			if n, _ := c.readAvailable(p); n > 0 {
-				return n, nil
-			}
-		}
-		return 0, errDisplaced
-	case isReading && now.Before(c.requestDeadline):
-		c.setReadDeadline(c.requestDeadline)
-	case !isReading && c.isAwaitingAnswer():
-		c.clearReadDeadline()
-	case !isReading && c.acceptsLateRequest(now):
-		c.setReadDeadline(c.stopReadDeadline)
-	case !c.extendedOnce:
-		// After a stall of the process, a request may have arrived in time and still be unread.
-		c.extendedOnce = true
-		c.setReadDeadline(now.Add(finalReadGrace))
-	case isReading:
-		return 0, errReadTimeout
-	case c.stopping.Err() != nil:
-		return 0, errClosing
-	default:
-		return 0, errIdle
-	}
-	return 0, nil
-}
-
 // acceptsLateRequest reports whether the connection still waits for a request during shutdown. The deadline is stored,
 // since several goroutines may wake the reader meanwhile.
 func (c *clientConnection) acceptsLateRequest(now time.Time) bool {
@@ -129,23 +80,27 @@
 func (c *clientConnection) readRequests(ctx context.Context) error {
 	unhook := context.AfterFunc(c.stopping, c.interruptRead)
 	defer unhook()
-	pooled := borrowBuffer()
-	defer returnBuffer(pooled)
-	buffer := (*pooled)[:bufferSize]
-	c.reader, c.readAvailable = http1.NewReader(c, buffer), nonBlockingRead(c.conn)
+	c.readiness = newReadiness(c.conn)
+	c.reader = http1.NewAccountedReader(c)
+	defer c.reader.Close()
+	defer c.endTurn()
 	for {
-		if err := c.awaitRequest(ctx, buffer); err != nil {
+		err := c.awaitRequest(ctx)
+		if errors.Is(err, errOverloaded) && !c.isAwaitingAnswer() {
+			return c.endOverloaded(ctx)
+		}
+		if err != nil {
 			return err
 		}
 		keep, err := c.readRequest()
-		if err := c.handleRequestError(ctx, err, keep, buffer); err != nil {
+		if err := c.handleRequestError(ctx, err, keep); err != nil {
 			return err
 		}
 	}
 }
 
 // awaitRequest waits for the first bytes of the next request and for the answer to the previous one.
-func (c *clientConnection) awaitRequest(ctx context.Context, buffer []byte) error {
+func (c *clientConnection) awaitRequest(ctx context.Context) error {
 	c.requestDeadline = time.Time{}
 	switch {
 	case !c.firstDeadline.IsZero():
@@ -171,7 +126,7 @@
 	// This check comes after awaiting the answer, which may set lastAnswerWritten in the meantime. Without it, a request
 	// that was read after the last answer would be dispatched.
 	if c.lastAnswerWritten.Load() {
-		c.linger(buffer)
+		c.linger()
 		return errClosing
 	}
 	return nil
@@ -180,13 +135,16 @@
 // readRequest reads a request whose first bytes have arrived and starts to serve it. keep reports whether its client
 // keeps the connection open.
 func (c *clientConnection) readRequest() (keep bool, err error) {
-	c.limiter.markRequestBegun(c)
+	c.markArriving()
 	if c.requestDeadline = c.firstDeadline; c.firstDeadline.IsZero() {
 		c.requestDeadline = time.Now().Add(requestReadTimeout)
 	} else if c.extendedOnce {
 		c.requestDeadline = time.Now().Add(finalReadGrace)
 	}
 	c.setReadDeadline(c.requestDeadline)
+	if err := c.beginTurn(); err != nil {
+		return false, err
+	}
 	method, target, head, body, keep, err := c.reader.ReadRequest()
 	arrivedAt := c.loop.Clock.Now()
 	if c.reads == c.bufferedReads { // all of it was read while the one before was open
@@ -198,7 +156,9 @@
 	}
 	c.unread = stall{}
 	c.firstDeadline, c.stopReadDeadline, c.extendedOnce = time.Time{}, time.Time{}, false
+	c.markComplete()
 	if err == nil {
+		c.share.pieces = 0
 		c.limiter.markBusy(c)
 		c.awaitingAnswer = true
 		err = c.handleRequest(method, target, head, body, keep, arrivedAt)
@@ -207,20 +167,27 @@
 }
 
 // handleRequestError answers a request that could not be served. It returns nil if the next request can be read.
-func (c *clientConnection) handleRequestError(ctx context.Context, err error, keep bool, buffer []byte) error {
+func (c *clientConnection) handleRequestError(ctx context.Context, err error, keep bool) error {
 	var rejected requestError
 	var invalid http1.InvalidMessageError
 	switch {
+	case errors.Is(err, errNoIngressRoom):
+		return c.endOverloaded(ctx)
+	case errors.Is(err, errPipelined):
+		c.loop.log.warnLimited("request_pipelined", "request_pipelined", "client", c.conn.RemoteAddr().String())
+		c.endWithError(ctx, 400)
+		return errMalformed
 	case errors.As(err, &rejected): // the request was read completely, so the start of the next one is known
+		c.share.standing.recordUnserved()
+		c.share.cost += answerCost
 		c.loop.log.warnLimited("refused", "refused", "client", c.conn.RemoteAddr().String(), "status", rejected.status,
 			"error", rejected.text)
 		c.respond(rejected.status, "", []byte("{}"), keep)
 	case errors.As(err, &invalid):
 		c.loop.log.warnLimited("bad_request", "bad_request", "client", c.conn.RemoteAddr().String(),
 			"status", invalid.Status, "error", invalid.Message)
-		c.respond(invalid.Status, "", []byte("{}"), false)
-		c.linger(buffer)
-		_ = c.awaitAnswer(ctx) // the connection ends in any case
+		c.share.cost += answerCost
+		c.endWithError(ctx, invalid.Status)
 		return errMalformed
 	case err != nil:
 		return connectionEndOf(err)
@@ -228,11 +195,42 @@
 	return nil
 }
 
+// markArriving records that a request arrives, which may have to make room for others until markComplete.
+func (c *clientConnection) markArriving() {
+	c.limiter.markRequestBegun(c)
+	c.control.markArriving(&c.share.holding, c.evict)
+}
+
+// markComplete records that a request has arrived completely or that its reading has failed.
+func (c *clientConnection) markComplete() {
+	c.control.markComplete(&c.share.holding)
+	c.evicted.Store(false)
+}
+
+// endOverloaded answers a request for which there is no room, however much of it has arrived, and ends the connection.
+func (c *clientConnection) endOverloaded(ctx context.Context) error {
+	c.loop.log.warnLimited("overloaded", "client_overloaded", "client", c.conn.RemoteAddr().String())
+	c.markComplete()
+	c.endWithError(ctx, 503)
+	return errOverloaded
+}
+
+// endWithError sends a last answer and waits until it is written and its client has had time to read it.
+func (c *clientConnection) endWithError(ctx context.Context, status int) {
+	c.awaitingAnswer = true
+	c.respond(status, "", []byte("{}"), false)
+	c.linger()
+	if c.isAwaitingAnswer() {
+		_ = c.awaitAnswer(ctx) // the connection ends in any case
+	}
+}
+
 // handlePipelined handles bytes that arrived before the answer to the previous request was completely written. If that
 // answer is being written, its client may have received it already. Otherwise the client pipelines, which the protocol
 // forbids: the open search is withdrawn and gets an error, so that a client cannot send hundreds of requests at once.
 func (c *clientConnection) handlePipelined(ctx context.Context) error {
 	search := c.lastSearch
+	c.endTurn()
 	c.loop.submit(func() {
 		if search != nil && !search.ended {
 			c.pendingWrites = append(c.pendingWrites, c.loop.withdrawSearch(search)...)
@@ -259,8 +257,8 @@
 	defer c.hasPipelined.Store(false)
 	for c.isAwaitingAnswer() {
 		switch err := c.reader.ReadAhead(); {
-		case errors.Is(err, http1.ErrBufferFull):
-			return c.awaitAnswer(ctx)
+		case errors.Is(err, http1.ErrBufferFull), errors.Is(err, errNoIngressRoom):
+			return c.handlePipelined(ctx) // whether the client has left could not be seen any more
 		case err != nil && !errors.Is(err, errNextRequest):
 			return err
 		}
@@ -277,6 +275,7 @@
 
 // awaitAnswer blocks until the awaited answer is written.
 func (c *clientConnection) awaitAnswer(ctx context.Context) error {
+	c.endTurn()
 	select {
 	case <-c.answered:
 		c.awaitingAnswer = false
@@ -291,21 +290,38 @@
 
 // linger reads and discards bytes for a while after the last answer: closing with unread bytes would send a reset, which
 // can cut off the answer before the client has read it.
-func (c *clientConnection) linger(buf []byte) {
+func (c *clientConnection) linger() {
+	c.reader.Close()
 	c.requestDeadline = time.Now().Add(lingerTimeout)
 	c.setReadDeadline(c.requestDeadline)
 	for left := maxLingerBytes; left > 0; {
-		n, err := c.Read(buf)
+		n, err := c.discard()
 		if left -= n; err != nil {
 			return
 		}
 	}
 }
 
+// discardBuffers are for bytes that are dropped.
+var discardBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, discardBufferSize)
+	return &buffer
+}}
+
+// discard reads once and drops what it has read. It takes a buffer only once there is something to read.
+func (c *clientConnection) discard() (n int, err error) {
+	if err := c.AwaitBytes(); err != nil {
+		return 0, err
+	}
+	buffer := discardBuffers.Get().(*[]byte)
+	defer discardBuffers.Put(buffer)
+	return c.Read(*buffer)
+}
+
 // setReadDeadline sets the read deadline. If the connection has been asked to make room, the read is interrupted instead.
 func (c *clientConnection) setReadDeadline(at time.Time) {
 	c.conn.SetReadDeadline(at)
-	if c.askedToLeave.Load() {
+	if c.askedToLeave.Load() || c.evicted.Load() {
 		c.interruptRead()
 	}
 }
--- a/coordinator/client_listener.go
+++ b/coordinator/client_listener.go
@@ -6,6 +6,10 @@
 	"net"
 	"os"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chalkring/coordinator/ingress"
 )
 
 const (
@@ -26,14 +30,18 @@
 type clientListener struct {
 	loop             *eventLoop
 	limiter          *connectionLimiter
+	control          *ingressControl // nil in tests that need none
+	acceptTurn       *clientTurn     // of the goroutine that accepts connections
 	classes, tenants map[string]int
 	stopping         context.Context // done when no new connections are accepted any more, acceptAfterStop after the stop
 }
 
 // newClientListener returns a listener for an event loop. stopping is done once no new connections are accepted.
 func newClientListener(loop *eventLoop, stopping context.Context) *clientListener {
+	acceptTurn := newClientTurn()
 	return &clientListener{
-		loop: loop, limiter: newConnectionLimiter(clientDescriptors(loop.plan.MaxSockets)),
+		loop: loop, limiter: newConnectionLimiter(maxClientConnections(loop.plan)),
+		control: newIngressControl(loop.plan.Cores, loop.plan.RequestMemory()), acceptTurn: &acceptTurn,
 		classes: loop.plan.PositionsByName("Classes"), tenants: loop.plan.PositionsByName("Tenants"), stopping: stopping,
 	}
 }
@@ -71,10 +79,21 @@
 			continue
 		}
 		acceptedOne = true
+		if pollSocket(conn, unix.POLLRDHUP) != 0 { // its client has left meanwhile
+			conn.Close()
+			if f.chargeConnection(goneClientCost) != nil {
+				return nil
+			}
+			continue
+		}
 		client := f.admit(conn, acceptedAt, &queue)
 		if client == nil {
 			return nil
 		}
+		if f.chargeConnection(connectionCost) != nil {
+			conn.Close()
+			return nil
+		}
 		loop.submit(func() { loop.clients.connections[client.messageConn] = true })
 		loop.group.Go(func() error {
 			f.serveClient(client)
@@ -89,7 +108,7 @@
 	loop := f.loop
 	client := &clientConnection{
 		clientListener: f, messageConn: newMessageConn(loop.ctx, clientQueueSize), conn: conn,
-		answered: make(chan struct{}, 1),
+		answered: make(chan struct{}, 1), share: clientShare{turn: newClientTurn()},
 	}
 	client.log = loop.log
 	if !f.limiter.admit(client, loop.ctx.Done()) {
@@ -104,6 +123,19 @@
 	return client
 }
 
+// chargeConnection counts the cost of an accepted connection, and waits while connections have used up their share of the
+// processor.
+func (f *clientListener) chargeConnection(cost time.Duration) error {
+	err := f.control.begin(f.loop.ctx, f.acceptTurn, ingress.Accepting, time.Now().Add(requestReadTimeout))
+	if errors.Is(err, errNoIngressRoom) {
+		return nil
+	}
+	if err == nil {
+		f.control.end(f.acceptTurn, cost)
+	}
+	return err
+}
+
 // serveClient serves a client's connection until it ends, and then releases what it holds.
 func (f *clientListener) serveClient(client *clientConnection) {
 	loop := f.loop
@@ -117,7 +149,7 @@
 		}
 	})
 	switch end {
-	case errReadTimeout, errMalformed, errQueueFull, errWriteFailed, errDisplaced, errFault:
+	case errReadTimeout, errMalformed, errQueueFull, errWriteFailed, errDisplaced, errFault, errOverloaded:
 		loop.log.warnLimited("client "+end.Error(), "client_connection_ended", "client", client.conn.RemoteAddr().String(), "end", end)
 	}
 }
--- a/coordinator/client_request.go
+++ b/coordinator/client_request.go
@@ -10,6 +10,8 @@
 	"time"
 )
 
+const maxKeptHeadBytes = 1 << 10 // of a request's head that an open search may keep in memory
+
 const maxRequestIDBytes = 128 // length limit of a request's id, which is part of each frame sent to replicas
 
 // requestError is the error of a well-formed request that cannot be served, with the status of the response.
@@ -42,6 +44,7 @@
 	}
 	if path == "/metrics" && method == http.MethodGet && (loop.shadowCounts != nil || loop.enforcer != nil) {
 		body := loop.metricsBody()
+		c.endTurn()
 		loop.submit(func() { c.respond(200, "Content-Type: text/plain; version=0.0.4", body, keep) })
 		return nil
 	}
@@ -58,11 +61,13 @@
 	if err := submitted.readBody(body, loop.rules.blockCount); err != nil {
 		return err
 	}
-	if err := c.checkClientGone(); err != nil {
+	if err := c.checkFollowing(); err != nil {
 		return err
 	}
 	submitted.reply = func(outcome searchOutcome) { c.writeAnswer(outcome, keep) }
 	c.lastSearch, submitted.client = submitted, c
+	c.share.cost += searchCost
+	c.endTurn()
 	loop.submit(func() { loop.startSearch(submitted) })
 	return nil
 }
@@ -73,6 +78,8 @@
 		return requestError{405, "/healthz needs the method GET"}
 	}
 	loop := c.loop
+	c.share.cost += searchCost
+	c.endTurn()
 	loop.submit(func() {
 		status := 200
 		if !loop.hasEndpoints || loop.isStopping() {
@@ -96,6 +103,9 @@
 		name: head["x-request-id"], key: key, class: class, arrivedAt: arrivedAt,
 		isRetry: head["x-retry"] == "1",
 	}
+	if c.reader.HeadLength() > maxKeptHeadBytes { // all texts of a head share one allocation, which the search would keep
+		created.name, created.key = strings.Clone(created.name), strings.Clone(created.key)
+	}
 	if !isPlainName(created.name) {
 		return nil, badRequest("X-Request-Id %.40q is empty, too long or not visible ASCII", created.name)
 	}
--- a/coordinator/connection_end.go
+++ b/coordinator/connection_end.go
@@ -28,11 +28,12 @@
 	errDisplaced                         // closed here: it was idle for longest, and another connection needed its descriptor
 	errClosing                           // closed here after a last answer, or at shutdown
 	errFault                             // closed here: handling what was received panicked
+	errOverloaded                        // closed here: there was no memory or processor time for a client's request
 )
 
 var connectionEndNames = [...]string{
 	"", "not_up", "starved", "peer_left", "broken", "stuck", "slow", "garbled",
-	"complained", "crowded", "unused", "retired", "displaced", "closing", "faulty",
+	"complained", "crowded", "unused", "retired", "displaced", "closing", "faulty", "overloaded",
 }
 
 // Error implements error. The texts are values of log lines.
@@ -84,6 +85,8 @@
 		return errPeerClosed
 	case errors.Is(err, context.Canceled), errors.Is(err, errAllAnswered):
 		return errClosing
+	case errors.Is(err, errNoIngressRoom):
+		return errOverloaded
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errReadTimeout
 	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
--- a/coordinator/connection_limiter.go
+++ b/coordinator/connection_limiter.go
@@ -84,8 +84,10 @@
 func (g *connectionLimiter) markRequestBegun(client *clientConnection) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	client.requestBegun = true
-	g.cancelDisplacement(client)
+	if !client.requestBegun {
+		client.requestBegun = true
+		g.cancelDisplacement(client)
+	}
 }
 
 // markBusy records that a request is complete.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,7 +67,7 @@
 		defer loop.enforcer.close()
 	}
 	if loop.searchAPI != nil {
-		listener.limiter.resize(clientDescriptors(initial.MaxSockets) - loop.searchAPI.MaxConnections)
+		listener.limiter.resize(maxClientConnections(initial) - loop.searchAPI.MaxConnections)
 	}
 	if err := loop.startBalancer(); err != nil {
 		options.Listener.Close()
--- a/coordinator/descriptors.go
+++ b/coordinator/descriptors.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"chalkring/coordinator/plan"
+)
 
 const (
 	clientDescriptorShare  = 0.55 // for client connections; the rest is for replicas, discovery, log and runtime
@@ -28,3 +32,8 @@
 
 // clientDescriptors returns how many of a plan's descriptors client connections may use.
 func clientDescriptors(limit int) int { return int(clientDescriptorShare * float64(limit)) }
+
+// maxClientConnections returns how many client connections a plan's descriptors and memory allow.
+func maxClientConnections(p *plan.Plan) int {
+	return min(clientDescriptors(p.MaxSockets), p.MaxClients())
+}
--- a/coordinator/frame_protocol.go
+++ b/coordinator/frame_protocol.go
@@ -16,6 +16,7 @@
 const (
 	frameReadTimeout     = 300 * time.Millisecond // from a frame's first byte to its last: answers fit into a few packets
 	maxLoggedRejectBytes = 200                    // bytes of a replica's reject text in a log line
+	cancelFrameRoom      = 16                     // bytes of a cancel frame besides the attempt's name
 	frameParameterRoom   = 256                    // bytes of a shard request's parameters that fit without an allocation
 )
 
@@ -60,7 +61,7 @@
 
 // cancelAttempt implements wireProtocol.
 func (frameProtocol) cancelAttempt(conn *replicaConnection, attempt *attempt) {
-	buffer := borrowBuffer()
+	buffer := borrowBufferOf(len(attempt.name) + cancelFrameRoom)
 	*buffer = frame.AppendCancel(*buffer, attempt.name)
 	conn.enqueue(&outboundMessage{buffer: buffer})
 }
--- a/coordinator/hostile_clients_test.go
+++ b/coordinator/hostile_clients_test.go
@@ -20,12 +20,13 @@
 	soakSeedsVariable = "CHALKRING_SOAK_SEEDS" // how many seeds TestOtherClientsDuringHostileOnes plays; hostileSeeds if it is empty
 	soakFirstVariable = "CHALKRING_SOAK_FIRST" // the first of them; 1 if it is empty
 
-	hostileSeeds   = 4
-	hostileLength  = 8 * time.Second
-	clientPatience = 2 * time.Second
-	lateAnswer     = 500 * time.Millisecond // after a client's time, from which a search counts as lost
-	leastServed    = 0.5                    // of the searches of clients that behave
-	searchRate     = 20.0                   // searches a second of clients that behave
+	hostileSeeds  = 4
+	hostileLength = 8 * time.Second
+	longPatience  = 2 * time.Second        // of half of the clients that behave
+	shortPatience = 300 * time.Millisecond // of the others
+	lateAnswer    = 500 * time.Millisecond // after a client's time, from which a search counts as lost
+	leastServed   = 0.5                    // of the searches of clients that behave
+	searchRate    = 10.0                   // searches a second of clients of each patience
 )
 
 // envNumber returns the number in an environment variable, or a default if it is not set.
@@ -46,6 +47,19 @@
 	peakMemory             int64
 }
 
+// count adds what became of a search.
+func (r *hostileRun) count(t *testing.T, result fleet.ClientResult) {
+	r.searches++
+	r.slowest = max(r.slowest, result.Latency)
+	switch {
+	case result.Status == 0 || result.Latency > result.Patience+lateAnswer:
+		r.lost++
+		t.Logf("lost: %s after %v: status %d, %+v", result.ID, result.Latency, result.Status, result.Attempts)
+	case result.Status == 200:
+		r.served++
+	}
+}
+
 // playHostileClients plays hostile clients against a process with the least limits of the platform, beside clients that behave.
 func playHostileClients(t *testing.T, seed int64, crowds []fake.HostileCrowd, length time.Duration) (run hostileRun) {
 	limits := fleet.LeastLimits
@@ -60,17 +74,19 @@
 	beside.Go(func() {
 		fake.PlayHostileCrowds(ctx, seed, cluster.Addresses("n").Client, "quick-picks", crowds)
 	})
-	for _, result := range cluster.PlaySearches(ctx, cluster.DrawSearches(seed, fmt.Sprint("s", seed), searchRate, length, clientPatience, "acme", "other")) {
-		run.searches++
-		run.slowest = max(run.slowest, result.Latency)
-		switch {
-		case result.Status == 0 || result.Latency > clientPatience+lateAnswer:
-			run.lost++
-			t.Logf("seed %d: lost: %s after %v: status %d, %+v", seed, result.ID, result.Latency, result.Status, result.Attempts)
-		case result.Status == 200:
-			run.served++
-		}
+	var mu sync.Mutex
+	var searching sync.WaitGroup
+	for name, patience := range map[string]time.Duration{"long": longPatience, "short": shortPatience} {
+		searches := cluster.DrawSearches(seed, name, searchRate, length, patience, "acme", "other")
+		searching.Go(func() {
+			for _, result := range cluster.PlaySearches(ctx, searches) {
+				mu.Lock()
+				run.count(t, result)
+				mu.Unlock()
+			}
+		})
 	}
+	searching.Wait()
 	require.NoError(t, syscall.Kill(cluster.PID("n"), 0), "the process has ended\n%s", cluster.Log("n"))
 	peak, err := cluster.PeakMemory("n")
 	require.NoError(t, err)
--- a/coordinator/message_conn.go
+++ b/coordinator/message_conn.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -56,7 +54,13 @@
 	log *asyncLogger // for panics; nil for no log
 
 	pendingWrites []pendingWrite // writes on other connections that have to end before the next message is written; set by the caller of enqueue
-	writerEnded   atomic.Bool    // the writer has returned
+
+	mu           sync.Mutex
+	writer       func() // writes what is queued; nil while the connection is not served
+	isWriting    bool
+	writersEnded sync.WaitGroup
+	collected    []*outboundMessage // empty; its array is reused by each write
+	writerEnded  atomic.Bool        // nothing is written any more
 }
 
 // newMessageConn returns a connection whose queue has room for the given number of messages.
@@ -70,11 +74,51 @@
 func (l *messageConn) enqueue(message *outboundMessage) {
 	select {
 	case l.queue <- message:
+		l.startWriter()
 	default:
 		l.end(errQueueFull)
 	}
 }
 
+// startWriter starts a goroutine that writes the queued messages, unless one runs already or the connection is not served.
+func (l *messageConn) startWriter() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.writer == nil || l.isWriting || len(l.queue) == 0 {
+		return
+	}
+	l.isWriting = true
+	l.writersEnded.Add(1)
+	go l.writer()
+}
+
+// stopWriting ends writing for good, and waits for a write that has begun.
+func (l *messageConn) stopWriting() {
+	l.mu.Lock()
+	l.writer = nil
+	l.mu.Unlock()
+	l.writersEnded.Wait()
+	l.writerEnded.Store(true)
+}
+
+// nextMessage returns the next queued message, or nil, after which the writer has to return.
+func (l *messageConn) nextMessage() *outboundMessage {
+	select {
+	case message := <-l.queue:
+		return message
+	default:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case message := <-l.queue: // it came before the lock
+		return message
+	default:
+		l.isWriting = false
+		return nil
+	}
+}
+
 // missedDeadline says whether a message is past its deadline. It removes the deadline, so it may be called only once for
 // each message.
 func (l *messageConn) missedDeadline(message *outboundMessage) bool {
@@ -82,40 +126,31 @@
 	return l.clockTicks() > by.(int64)
 }
 
-// serve runs a connection to its end, with a goroutine for reading and one for writing, and returns why it ended. A write
-// that takes longer than writeTimeout fails; wrote is called for each written message. Deadlines of sockets are in the
-// system clock's time.
+// serve runs a connection to its end and returns why it ended. It reads on its own goroutine; another one writes while there
+// are messages. A write that takes longer than writeTimeout fails; wrote is called for each written message. Deadlines of
+// sockets are in the system clock's time.
 func (l *messageConn) serve(conn net.Conn, writeTimeout time.Duration, read func(context.Context) error,
 	wrote func(*outboundMessage) error,
 ) connectionEndError {
-	group, ctx := errgroup.WithContext(l.ctx)
+	ctx, cancel := context.WithCancelCause(l.ctx) // the cause is the first error of reading and writing
+	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	defer conn.Close()
-	group.Go(func() error { return l.log.recoverPanic(func() error { return read(ctx) }) })
-	write := func() error {
-		var room []*outboundMessage
-		defer l.writerEnded.Store(true)
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case message := <-l.queue:
-				if l.awaitEventLoop != nil {
-					l.awaitEventLoop(ctx)
-				}
-				if ctx.Err() != nil { // no write may begin after the reader has seen the connection's end
-					return ctx.Err()
-				}
-				conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				if err := l.writeCoalesced(conn, message, &room, wrote); err != nil {
-					return err
-				}
-			}
+	write := func() error { return l.writeQueued(ctx, conn, writeTimeout, wrote) }
+	l.mu.Lock()
+	l.writer = func() {
+		defer l.writersEnded.Done()
+		if err := l.log.recoverPanic(write); err != nil {
+			l.writerEnded.Store(true)
+			cancel(err)
 		}
 	}
-	group.Go(func() error { return l.log.recoverPanic(write) })
-	err := group.Wait()
+	l.mu.Unlock()
+	l.startWriter()
+	cancel(l.log.recoverPanic(func() error { return read(ctx) }))
+	l.stopWriting()
+	err := context.Cause(ctx)
 	if cause := context.Cause(l.ctx); cause != nil {
 		err = cause // this side ended it, which made reads and writes fail
 	}
@@ -124,13 +159,32 @@
 	return end
 }
 
-// writeCoalesced writes a message and, in the same write, messages queued behind it, up to the limits of collect. The
-// array at room is reused by each call.
-func (l *messageConn) writeCoalesced(conn net.Conn, message *outboundMessage, room *[]*outboundMessage, wrote func(*outboundMessage) error) error {
-	all := (*room)[:0]
+// writeQueued writes messages until none is queued. After an error nothing may be written any more.
+func (l *messageConn) writeQueued(ctx context.Context, conn net.Conn, writeTimeout time.Duration, wrote func(*outboundMessage) error) error {
+	for {
+		message := l.nextMessage()
+		if message == nil {
+			return nil
+		}
+		if l.awaitEventLoop != nil {
+			l.awaitEventLoop(ctx)
+		}
+		if ctx.Err() != nil { // no write may begin after the reader has seen the connection's end
+			return ctx.Err()
+		}
+		conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if err := l.writeCoalesced(conn, message, wrote); err != nil {
+			return err
+		}
+	}
+}
+
+// writeCoalesced writes a message and, in the same write, messages queued behind it, up to the limits of collect.
+func (l *messageConn) writeCoalesced(conn net.Conn, message *outboundMessage, wrote func(*outboundMessage) error) error {
+	all := l.collected[:0]
 	defer func() {
 		clear(all)
-		*room = all[:0]
+		l.collected = all[:0]
 	}()
 	all = l.collect(message, all)
 	if len(all) == 0 {
--- a/coordinator/reload.go
+++ b/coordinator/reload.go
@@ -13,11 +13,12 @@
 		case next := <-plans:
 			loop.log.Info("reloaded", "discovery", next.Discovery, "sockets", next.MaxSockets, "memory_mb", next.MemoryMB,
 				"waits_for_restart", loop.plan.RestartDifferences(next))
-			maxConnections := clientDescriptors(next.MaxSockets)
+			maxConnections := maxClientConnections(next)
 			if loop.searchAPI != nil {
 				maxConnections -= loop.searchAPI.MaxConnections
 			}
 			f.limiter.resize(maxConnections)
+			f.control.resize(next.Cores, next.RequestMemory())
 			loop.submit(func() { loop.descriptors.limit, loop.searches.memoryLimit = next.MaxSockets, next.SearchMemory() })
 			select {
 			case loop.discovery.moves <- next.Discovery:
--- a/coordinator/residency_test.go
+++ b/coordinator/residency_test.go
@@ -332,7 +332,7 @@
 		all := newMessages()
 		l.enqueue(all[1])
 		l.enqueue(all[2])
-		require.NoError(t, l.writeCoalesced(writes{to: &out}, all[0], new([]*outboundMessage), func(*outboundMessage) error { return nil }))
+		require.NoError(t, l.writeCoalesced(writes{to: &out}, all[0], func(*outboundMessage) error { return nil }))
 		require.Equal(t, expired, all[0].stage.Load() == stageRecalled)
 	}
 	require.Equal(t, "true false true false ", out.String())
--- a/coordinator/socket_state.go
+++ b/coordinator/socket_state.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chalkring/internal/http1"
 )
 
 const tcpStateClosed = 7 // the system's state of a connection that has never been open or was reset
@@ -25,18 +27,33 @@
 	return raw
 }
 
-// checkClientGone checks without blocking whether the client has closed the connection since its request arrived, and
-// returns an error if it has. Without this check, a process that reads late would dispatch requests of clients that have
-// left.
-func (c *clientConnection) checkClientGone() error {
-	if c.readAvailable == nil {
+// errPipelined ends a connection on which more follows a request than may.
+var errPipelined = errors.New("more bytes follow the request; wait for its answer before sending the next one")
+
+// checkFollowing checks what has arrived behind a request that is about to be dispatched, and whether the client has closed
+// the connection. Behind unread bytes the close might not be seen, so that requests of clients that have left would be
+// dispatched.
+func (c *clientConnection) checkFollowing() error {
+	if c.readiness == nil {
 		return nil
 	}
-	err := c.reader.ReadAvailable(c.readAvailable)
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		return connectionEndOf(err)
+	for {
+		c.readiness.look()
+		if c.readiness.hungUp {
+			return errPeerClosed
+		}
+		if c.reader.SkipEmptyLines() && !c.loop.isStopping() {
+			return errPipelined
+		}
+		if !c.readiness.due {
+			return nil
+		}
+		if err := c.reader.ReadAhead(); errors.Is(err, http1.ErrBufferFull) {
+			return errPipelined
+		} else if err != nil {
+			return err
+		}
 	}
-	return nil // nothing more has arrived, or the state is unknown
 }
 
 // hasHungUp reports whether the client has closed its side of the connection, as far as the system knows.
@@ -78,25 +95,19 @@
 	return ago, ok
 }
 
-// nonBlockingRead returns a function that reads from a connection without blocking, or nil if the connection has no socket.
-// It is allocated once for all requests of the connection.
+// nonBlockingRead returns a function that reads from a connection with a socket without blocking, whatever its deadline.
 func nonBlockingRead(conn net.Conn) func(p []byte) (int, error) {
-	raw := rawConnOf(conn)
-	if raw == nil {
-		return nil
-	}
-	var into []byte
-	var n int
-	var err error
-	read := func(fd uintptr) { n, err = syscall.Read(int(fd), into) }
-	return func(p []byte) (int, error) {
-		into = p
-		if controlErr := raw.Control(read); controlErr != nil { // not raw.Read, which fails after the connection's deadline
+	return func(p []byte) (n int, err error) {
+		raw := rawConnOf(conn)
+		if raw == nil {
+			return 0, net.ErrClosed
+		}
+		if controlErr := raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) }); controlErr != nil { // not raw.Read, which fails after the connection's deadline
 			return 0, controlErr
 		}
 		if n == 0 && err == nil {
 			return 0, io.EOF
 		}
-		return n, err
+		return max(n, 0), err
 	}
 }
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -47,7 +47,7 @@
 		r.start += n
 		return r.buffer[r.start-n : r.start : r.start], nil
 	}
-	return r.appendBody(nil, n)
+	return r.appendBody(nil, n, n)
 }
 
 // parseLength parses the length of a body or chunk. It accepts digits only.
@@ -67,10 +67,20 @@
 	return invalidMessage(statusContentTooLarge, "body over %d bytes", maxBodyBytes)
 }
 
-// appendBody appends the next n bytes of the stream to body. Memory is allocated as bytes arrive, not for all n bytes
-// in advance.
-func (r *Reader) appendBody(body []byte, n int) ([]byte, error) {
+// appendBody appends the next n bytes of the stream to body, to which toCome bytes at most will be appended in all. Memory
+// is allocated as bytes arrive, not for all bytes in advance.
+func (r *Reader) appendBody(body []byte, n, toCome int) ([]byte, error) {
+	begin := len(body)
 	for n > 0 {
+		if r.start == r.end && r.accounted != nil && n >= minBufferBytes {
+			before := len(body)
+			var err error
+			if body, err = r.readInto(body, n, toCome-(len(body)-begin)); err != nil {
+				return nil, unexpectedEOF(err)
+			}
+			n -= len(body) - before
+			continue
+		}
 		if r.start == r.end {
 			if err := r.fill(); err != nil {
 				return nil, unexpectedEOF(err)
@@ -78,12 +88,16 @@
 		}
 		received := r.buffer[r.start:r.end]
 		received = received[:min(n, len(received))]
-		n -= len(received)
-		r.start += len(received)
 		if len(body)+len(received) > maxBodyBytes {
 			return nil, bodyTooLarge()
 		}
+		var err error
+		if body, err = r.growBody(body, len(received), toCome-(len(body)-begin)); err != nil {
+			return nil, err
+		}
 		body = append(body, received...)
+		n -= len(received)
+		r.start += len(received)
 	}
 	return body, nil
 }
@@ -100,7 +114,7 @@
 				return nil, err
 			}
 		}
-		if body, err = r.appendBody(body, r.end-r.start); err != nil {
+		if body, err = r.appendBody(body, r.end-r.start, maxBodyBytes-len(body)); err != nil {
 			return nil, err
 		}
 	}
@@ -127,7 +141,7 @@
 		if n == 0 {
 			return body, r.skipTrailers()
 		}
-		if body, err = r.appendBody(body, n); err != nil {
+		if body, err = r.appendBody(body, n, maxBodyBytes-len(body)); err != nil {
 			return nil, err
 		}
 		line, err = r.readLine()
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -13,6 +13,9 @@
 // would take many times its length in memory.
 const maxHeadFields = 100
 
+// maxKeptFields is the number of header lines up to which the map of a head is reused for the next one.
+const maxKeptFields = 32
+
 // Names of the header fields that this package interprets, in lower case like the keys of the field maps.
 const (
 	fieldHost             = "host"
@@ -53,7 +56,7 @@
 			return string(bytes.TrimSuffix(line, []byte("\r"))), nil
 		}
 		searched = r.end - r.start
-		if searched > r.headBytesLeft || searched == len(r.buffer) {
+		if searched > r.headBytesLeft || searched == r.maxBuffered() {
 			return "", headTooLarge()
 		}
 		if err := r.fill(); err != nil {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -26,6 +26,7 @@
 	if fields, err = r.readFields(); err != nil {
 		return method, target, nil, nil, false, err
 	}
+	r.headLength = maxHeadBytes - r.headBytesLeft
 	if _, hasHost := fields[fieldHost]; !hasHost && version == version11 {
 		return method, target, fields, nil, false, invalidMessage(statusBadRequest, "missing Host header, expected one in an HTTP/1.1 request")
 	}
@@ -38,6 +39,9 @@
 	return method, target, fields, body, keepAlive, err
 }
 
+// HeadLength returns the length of the last request's head in bytes.
+func (r *Reader) HeadLength() int { return r.headLength }
+
 func (r *Reader) readRequestLine() (method, target, version string, err error) {
 	line := ""
 	for line == "" { // HTTP asks servers to ignore empty lines before a request
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -17,10 +17,15 @@
 // use.
 type Reader struct {
 	source     io.Reader
-	buffer     []byte // owned by the caller of NewReader
+	buffer     []byte // owned by the caller of NewReader, or from the buffer pool; nil if there is none
 	start, end int    // buffer[start:end] is received and not yet consumed
 
+	accounted    AccountedSource // the source, if the reader's memory is accounted for; otherwise nil
+	pooled       *[]byte         // where buffer was taken from; nil for the buffer of NewReader
+	reservedBody int             // bytes reserved for the body of the last message
+
 	headBytesLeft int               // how many more bytes the current head, chunk size line or trailers may have
+	headLength    int               // of the last request
 	head          string            // the unread rest of the current head if it was received completely, otherwise empty
 	fields        map[string]string // of the last head, reused for the next
 }
@@ -34,11 +39,10 @@
 // AwaitMessage waits until the first byte of the next message has been received. It skips empty lines before the
 // message.
 func (r *Reader) AwaitMessage() error {
+	r.releaseBody()
 	for {
-		for ; r.start < r.end; r.start++ {
-			if b := r.buffer[r.start]; b != '\r' && b != '\n' {
-				return nil
-			}
+		if r.SkipEmptyLines() {
+			return nil
 		}
 		if err := r.fill(); err != nil {
 			return err
@@ -49,33 +53,36 @@
 // ReadAhead reads further bytes between messages, so that the caller notices the end of the stream. It returns
 // ErrBufferFull if the buffer has no room. It invalidates the fields and body of the last message.
 func (r *Reader) ReadAhead() error {
-	if r.start == 0 && r.end == len(r.buffer) {
+	if r.end-r.start >= r.maxBuffered() {
 		return ErrBufferFull
 	}
 	return r.fill()
 }
 
-// ReadAvailable reads the bytes that have already arrived after the last message. read must not wait, and must return
-// an error when no more bytes are available; ReadAvailable returns that error, or ErrBufferFull. The fields and body of
-// the last message stay valid.
-func (r *Reader) ReadAvailable(read func(p []byte) (int, error)) error {
-	for r.end < len(r.buffer) {
-		n, err := read(r.buffer[r.end:])
-		r.end += max(n, 0)
-		if err != nil {
-			return err
+// maxBuffered returns how many bytes the buffer can hold at most.
+func (r *Reader) maxBuffered() int {
+	if r.accounted != nil {
+		return maxBufferBytes
+	}
+	return len(r.buffer)
+}
+
+// SkipEmptyLines consumes empty lines that have been received after the last message, and reports whether other bytes
+// follow them.
+func (r *Reader) SkipEmptyLines() bool {
+	for ; r.start < r.end; r.start++ {
+		if b := r.buffer[r.start]; b != '\r' && b != '\n' {
+			return true
 		}
 	}
-	return ErrBufferFull
+	return false
 }
 
 // fill reads once from the source. If the buffer has no room at its end, it first moves the unconsumed bytes to the
-// front.
+// front, or takes a larger buffer.
 func (r *Reader) fill() error {
-	if r.start == r.end {
-		r.start, r.end = 0, 0
-	} else if r.end == len(r.buffer) {
-		r.end, r.start = copy(r.buffer, r.buffer[r.start:r.end]), 0
+	if err := r.makeRoom(); err != nil {
+		return err
 	}
 	n, err := r.source.Read(r.buffer[r.end:])
 	r.end += n
@@ -88,6 +95,30 @@
 	return err
 }
 
+// makeRoom makes room for at least one byte in the buffer. With an accounted source, it waits for bytes before it takes
+// a buffer.
+func (r *Reader) makeRoom() error {
+	if r.start == r.end {
+		r.start, r.end = 0, 0
+	}
+	if r.accounted != nil {
+		if r.end == 0 {
+			r.releaseBuffer()
+		}
+		if err := r.accounted.AwaitBytes(); err != nil {
+			return err
+		}
+	}
+	if r.end < len(r.buffer) {
+		return nil
+	}
+	if r.start > 0 {
+		r.end, r.start = copy(r.buffer, r.buffer[r.start:r.end]), 0
+		return nil
+	}
+	return r.growBuffer()
+}
+
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF, for errors within a message.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
