Refuse an id whose search may have run

Cause: an id counted as in use only while its search was open. A search whose client left has sent its attempts; the same id again was sent again, and replicas cannot tell the two apart.

TestIDOfClientThatHasLeftIsRefused failed before (200 in place of 409).

--- a/coordinator/client_leave_test.go
+++ b/coordinator/client_leave_test.go
@@ -67,3 +67,19 @@
 		})
 	}
 }
+
+// Guards against an id that runs twice: a search whose client has left may have run, and replicas cannot tell its attempts
+// from those of a later search of the same id.
+func TestIDOfClientThatHasLeftIsRefused(t *testing.T) {
+	r := start(t, 256, nil)
+	r.setHandlers(func(receivedRequest) {})
+	c := r.connect().send(request("again", "all", "", fourParts))
+	r.eventually("shard requests are sent", func() bool { return r.parts() == 4 })
+	c.Close()
+	r.eventually("attempts are canceled", func() bool { return r.canceledAttempts() == 4 })
+	r.setHandlers(receivedRequest.ReplyGood)
+	r.connect().expect("again", "all", 409, "{}")
+	require.Equal(t, 4, r.parts())
+	r.connect().expect("other", "all", 200, completeAnswer)
+	r.shutDown()
+}
--- a/coordinator/search.go
+++ b/coordinator/search.go
@@ -25,6 +25,7 @@
 type searchTable struct {
 	byID          map[uint64]*search
 	names         map[string]bool
+	recent        recentNames // of searches that have ended and may have run
 	shardRequests map[uint64]*shardRequest
 	lastID        uint64         // of searches and shard requests
 	pendingWrites []pendingWrite // the array that finishSearch reuses for what it returns
@@ -104,7 +105,7 @@
 // startSearch hands a search to the balancer. The number of open searches is bounded by the number of client connections,
 // each of which has at most one.
 func (loop *eventLoop) startSearch(search *search) {
-	if loop.searches.names[search.name] { // replicas could not tell the attempts of the two searches apart
+	if loop.searches.names[search.name] || loop.searches.recent.has(search.name) { // replicas could not tell the attempts of the two searches apart
 		search.ended = true
 		search.reply(searchOutcome{outcome: outcomeDuplicateID})
 		return
--- a/coordinator/search_end.go
+++ b/coordinator/search_end.go
@@ -154,6 +154,9 @@
 		}
 		loop.dropShardRequest(request)
 	}
+	if search.mayHaveRun() {
+		loop.searches.recent.add(search.name)
+	}
 	search.shardRequests, search.text, search.shards, search.weights, search.pendingWrites = nil, nil, nil, nil, nil // an idle client connection refers to its last search, and would keep these in memory
 	return pending
 }
