Count a request's time from its arrival when it waits for a turn; soften the turns of shed clients

Change: a request that waited for a turn counts from when the system received its last bytes. Connections that wait for a turn make room with 503, those after their last answer at once. Copies of a search's text for its shards are reserved before it is sent (TestLongSearchesShareTheMemory).

--- a/coordinator/client_answer.go
+++ b/coordinator/client_answer.go
@@ -17,8 +17,10 @@
 	switch outcome.outcome {
 	case outcomeAnswered:
 		c.share.standing.recordServed()
-	case outcomeDuplicateID, outcomeShed:
-		c.share.standing.recordUnserved()
+	case outcomeShed:
+		c.share.standing.recordShed()
+	case outcomeDuplicateID:
+		c.share.standing.recordRefused()
 	}
 	switch outcome.outcome {
 	case outcomeDuplicateID:
--- a/coordinator/client_connection.go
+++ b/coordinator/client_connection.go
@@ -39,6 +39,7 @@
 	firstDeadline     time.Time   // for the first request; zero once it has been read
 	requestDeadline   time.Time   // for the request being read; zero between requests
 	unread            stall       // while it waited for room, in which its first request may have arrived; zero if it did not wait
+	waitedSince       time.Time   // for a turn, in which the request that is being read may have arrived; zero if it did not wait
 	reads             int         // that returned bytes
 	bufferedAt        time.Time   // when the bytes of a pipelined request were read, those up to bufferedReads
 	bufferedReads     int         // the value of reads then
@@ -150,11 +151,10 @@
 	if c.reads == c.bufferedReads { // all of it was read while the one before was open
 		arrivedAt = c.bufferedAt
 	}
-	if readAt := c.loop.ticksAt(arrivedAt); c.unread.mayHaveHeld(readAt) {
-		waited := time.Duration(readAt-c.unread.from) * tick
-		arrivedAt = c.loop.arrivalBetween(arrivedAt.Add(-waited), arrivedAt, c.conn)
+	if earliest := c.earliestArrival(arrivedAt); earliest.Before(arrivedAt) {
+		arrivedAt = c.loop.arrivalBetween(earliest, arrivedAt, c.conn)
 	}
-	c.unread = stall{}
+	c.unread, c.waitedSince = stall{}, time.Time{}
 	c.firstDeadline, c.stopReadDeadline, c.extendedOnce = time.Time{}, time.Time{}, false
 	c.markComplete()
 	if err == nil {
@@ -166,6 +166,19 @@
 	return keep, err
 }
 
+// earliestArrival returns the earliest time at which the last bytes of a request may have arrived that was read completely
+// at the given time: they may have waited for room or for a turn.
+func (c *clientConnection) earliestArrival(readAt time.Time) time.Time {
+	earliest := readAt
+	if !c.waitedSince.IsZero() {
+		earliest = c.waitedSince
+	}
+	if ticks := c.loop.ticksAt(earliest); c.unread.mayHaveHeld(ticks) {
+		return earliest.Add(-time.Duration(ticks-c.unread.from) * tick)
+	}
+	return earliest
+}
+
 // handleRequestError answers a request that could not be served. It returns nil if the next request can be read.
 func (c *clientConnection) handleRequestError(ctx context.Context, err error, keep bool) error {
 	var rejected requestError
@@ -178,7 +191,9 @@
 		c.endWithError(ctx, 400)
 		return errMalformed
 	case errors.As(err, &rejected): // the request was read completely, so the start of the next one is known
-		c.share.standing.recordUnserved()
+		if rejected.status < 500 {
+			c.share.standing.recordRefused()
+		}
 		c.share.cost += answerCost
 		c.loop.log.warnLimited("refused", "refused", "client", c.conn.RemoteAddr().String(), "status", rejected.status,
 			"error", rejected.text)
--- a/coordinator/client_ingress.go
+++ b/coordinator/client_ingress.go
@@ -11,15 +11,17 @@
 )
 
 const (
-	turnCost          = 20 * time.Microsecond  // of waking a connection's goroutine and reading
-	byteCost          = 20 * time.Nanosecond   // of reading and parsing a byte
-	answerCost        = 40 * time.Microsecond  // of an answer that the connection's own goroutine gives
-	connectionCost    = 100 * time.Microsecond // of accepting and ending a connection
-	searchCost        = 100 * time.Microsecond // of a request in the event loop
-	maxUnservedBefore = 2                      // requests in a row that could not be served, after which a client is suspect
-	maxPieces         = 16                     // reads for one request, after which its client is suspect
-	maxFirstPieces    = 2                      // the same while nothing of the client's has been served: few need more
-	goneClientCost    = 10 * time.Microsecond  // of accepting a connection that its client has closed already
+	turnCost         = 20 * time.Microsecond  // of waking a connection's goroutine and reading
+	byteCost         = 20 * time.Nanosecond   // of reading and parsing a byte
+	maxFirstTurnWait = 500 * time.Millisecond // for the first turn of a request, of which nothing has been read
+	maxLingerWait    = 100 * time.Millisecond // for a turn of a connection whose last answer has been written
+	answerCost       = 80 * time.Microsecond  // of an answer that the connection's own goroutine gives
+	connectionCost   = 100 * time.Microsecond // of accepting and ending a connection
+	searchCost       = 60 * time.Microsecond  // of a request in the event loop
+	maxPromptTurn    = time.Millisecond       // wait for a turn that does not count
+	maxRefused       = 2                      // requests in a row that could not be served, after which a client is suspect
+	maxPieces        = 16                     // reads for one request, after which its client is suspect
+	maxFirstPieces   = 2                      // the same while nothing of the client's has been served: few need more
 )
 
 // errNoIngressRoom ends the reading of a request for which there is no memory, or no processor time within its time. Its
@@ -72,15 +74,35 @@
 // clientTurn is one connection's turns, one after another, and the timer of its waits for them.
 type clientTurn struct {
 	*ingress.Turn
-	late *time.Timer // nil before the first wait
+	late  *time.Timer   // nil before the first wait
+	leave chan struct{} // receives a value when the connection has to make room for another one
 }
 
-func newClientTurn() clientTurn { return clientTurn{Turn: ingress.NewTurn()} }
+func newClientTurn() clientTurn {
+	return clientTurn{Turn: ingress.NewTurn(), leave: make(chan struct{}, 1)}
+}
+
+// makeRoom ends a wait for a turn. Any goroutine may call it.
+func (t *clientTurn) makeRoom() {
+	select {
+	case t.leave <- struct{}{}:
+	default:
+	}
+}
 
-// begin waits for a turn until a time. It returns errNoIngressRoom if that has passed, and errClosing if ctx ends.
+// forgetLeave forgets that the connection had to make room, since it need not any more.
+func (t *clientTurn) forgetLeave() {
+	select {
+	case <-t.leave:
+	default:
+	}
+}
+
+// begin waits for a turn until a time. It returns errNoIngressRoom if that has passed or the connection has to make room
+// meanwhile, and errClosing if ctx ends.
 func (g *ingressControl) begin(ctx context.Context, turn *clientTurn, priority ingress.Priority, until time.Time) error {
 	g.mu.Lock()
-	g.scheduler.Request(turn.Turn, priority)
+	g.scheduler.Request(turn.Turn, priority, time.Since(g.startedAt))
 	g.grantLocked()
 	g.mu.Unlock()
 	select {
@@ -109,6 +131,8 @@
 		return nil
 	case <-turn.late.C:
 		err = errNoIngressRoom
+	case <-turn.leave:
+		err = errNoIngressRoom
 	case <-ctx.Done():
 		err = errClosing
 	}
--- a/coordinator/client_listener.go
+++ b/coordinator/client_listener.go
@@ -79,21 +79,14 @@
 			continue
 		}
 		acceptedOne = true
-		if pollSocket(conn, unix.POLLRDHUP) != 0 { // its client has left meanwhile
+		if pollSocket(conn, unix.POLLRDHUP) != 0 { // its client has left meanwhile; others may wait behind it
 			conn.Close()
-			if f.chargeConnection(goneClientCost) != nil {
-				return nil
-			}
 			continue
 		}
 		client := f.admit(conn, acceptedAt, &queue)
 		if client == nil {
 			return nil
 		}
-		if f.chargeConnection(connectionCost) != nil {
-			conn.Close()
-			return nil
-		}
 		loop.submit(func() { loop.clients.connections[client.messageConn] = true })
 		loop.group.Go(func() error {
 			f.serveClient(client)
@@ -102,7 +95,7 @@
 	}
 }
 
-// admit waits until there is room for an accepted connection. It returns nil, and closes the connection, if the coordinator
+// admit waits until there is room for an accepted connection and processor time for it. It returns nil, and closes the connection, if the coordinator
 // ends meanwhile.
 func (f *clientListener) admit(conn net.Conn, acceptedAt time.Time, queue *acceptQueue) *clientConnection {
 	loop := f.loop
@@ -111,7 +104,7 @@
 		answered: make(chan struct{}, 1), share: clientShare{turn: newClientTurn()},
 	}
 	client.log = loop.log
-	if !f.limiter.admit(client, loop.ctx.Done()) {
+	if f.chargeConnection() != nil || !f.limiter.admit(client, loop.ctx.Done()) {
 		conn.Close()
 		return nil
 	}
@@ -125,13 +118,13 @@
 
 // chargeConnection counts the cost of an accepted connection, and waits while connections have used up their share of the
 // processor.
-func (f *clientListener) chargeConnection(cost time.Duration) error {
+func (f *clientListener) chargeConnection() error {
 	err := f.control.begin(f.loop.ctx, f.acceptTurn, ingress.Accepting, time.Now().Add(requestReadTimeout))
 	if errors.Is(err, errNoIngressRoom) {
 		return nil
 	}
 	if err == nil {
-		f.control.end(f.acceptTurn, cost)
+		f.control.end(f.acceptTurn, connectionCost)
 	}
 	return err
 }
--- a/coordinator/client_read.go
+++ b/coordinator/client_read.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// beginTurn waits for a turn, if the connection has none, until the time at which the request has to be complete.
+// beginTurn waits for a turn, if the connection has none, until the time at which the request has to be complete; for its
+// first turn less, so that a client that cannot be served knows it soon.
 func (c *clientConnection) beginTurn() error {
 	if c.control == nil || c.share.inTurn {
 		return nil
@@ -92,9 +93,22 @@
 	if until.IsZero() {
 		until = time.Now().Add(requestReadTimeout)
 	}
+	switch {
+	case c.lastAnswerWritten.Load():
+		until = time.Now().Add(maxLingerWait)
+	case c.share.pieces == 0:
+		until = time.Now().Add(maxFirstTurnWait)
+	}
+	if !c.askedToLeave.Load() {
+		c.share.turn.forgetLeave()
+	}
+	askedAt := c.loop.Clock.Now()
 	if err := c.control.begin(c.ctx, &c.share.turn, c.priority(), until); err != nil {
 		return err
 	}
+	if c.waitedSince.IsZero() && c.loop.Clock.Now().Sub(askedAt) > maxPromptTurn {
+		c.waitedSince = askedAt
+	}
 	c.share.inTurn, c.share.cost = true, turnCost
 	return nil
 }
@@ -148,7 +162,7 @@
 func (c *clientConnection) handleReadDeadline() error {
 	now, isReading := time.Now(), !c.requestDeadline.IsZero()
 	switch {
-	case c.lastAnswerWritten.Load() && !now.Before(c.requestDeadline):
+	case c.lastAnswerWritten.Load() && (c.askedToLeave.Load() || !now.Before(c.requestDeadline)):
 		return errClosing
 	case c.evicted.Load():
 		return errNoIngressRoom
--- a/coordinator/client_request.go
+++ b/coordinator/client_request.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"chalkring/coordinator/ingress"
 )
 
 const maxKeptHeadBytes = 1 << 10 // of a request's head that an open search may keep in memory
@@ -64,6 +66,9 @@
 	if err := c.checkFollowing(); err != nil {
 		return err
 	}
+	if err := c.reserveCopies(submitted); err != nil {
+		return err
+	}
 	submitted.reply = func(outcome searchOutcome) { c.writeAnswer(outcome, keep) }
 	c.lastSearch, submitted.client = submitted, c
 	c.share.cost += searchCost
@@ -72,6 +77,27 @@
 	return nil
 }
 
+// reserveCopies reserves memory for the copies of a search's text that are sent to replicas, until the search ends.
+func (c *clientConnection) reserveCopies(submitted *search) error {
+	copies := len(submitted.text) * len(submitted.shards)
+	if copies <= ingress.FreeBytes {
+		return nil
+	}
+	if c.Reserve(copies) != nil {
+		return requestError{503, "no memory for a search of this length"}
+	}
+	submitted.reservedBytes = copies
+	return nil
+}
+
+// releaseCopies gives back what reserveCopies has reserved.
+func (s *search) releaseCopies() {
+	if s.reservedBytes > 0 {
+		s.client.Release(s.reservedBytes)
+		s.reservedBytes = 0
+	}
+}
+
 // serveHealth answers with status 200 if the coordinator has an endpoint list and is not stopping, and 503 otherwise.
 func (c *clientConnection) serveHealth(method string, keep bool) error {
 	if method != http.MethodGet {
--- a/coordinator/client_standing.go
+++ b/coordinator/client_standing.go
@@ -6,24 +6,27 @@
 	"chalkring/coordinator/ingress"
 )
 
-// standing is what became of a client's last requests: how many in a row could not be served, or wasServed. Any goroutine
-// may use it.
-type standing struct{ unserved atomic.Int32 }
+// standing is what became of a client's last requests: how many in a row were refused, or wasServed. Any goroutine may use
+// it.
+type standing struct{ refused atomic.Int32 }
 
-const wasServed = -1 // the value of standing.unserved after a search that was served
+const wasServed = -1 // the value of standing.refused after a search that was served
 
 // recordServed records that a search was served.
-func (s *standing) recordServed() { s.unserved.Store(wasServed) }
+func (s *standing) recordServed() { s.refused.Store(wasServed) }
 
-// recordUnserved records a request that was not served, for whatever reason but a replica's fault.
-func (s *standing) recordUnserved() { s.unserved.Store(max(s.unserved.Load(), 0) + 1) }
+// recordRefused records a request that could not be served, whatever the load.
+func (s *standing) recordRefused() { s.refused.Store(max(s.refused.Load(), 0) + 1) }
+
+// recordShed records a search that was shed, which is not its client's fault.
+func (s *standing) recordShed() { s.refused.CompareAndSwap(wasServed, 0) }
 
 // priority returns the priority of the client's next turn.
 func (s *standing) priority() ingress.Priority {
-	switch n := s.unserved.Load(); {
+	switch n := s.refused.Load(); {
 	case n == wasServed:
 		return ingress.Trusted
-	case n >= maxUnservedBefore:
+	case n >= maxRefused:
 		return ingress.Suspect
 	default:
 		return ingress.Unproven
--- a/coordinator/connection_limiter.go
+++ b/coordinator/connection_limiter.go
@@ -76,6 +76,7 @@
 	if g.displaced != nil {
 		g.displaced.askedToLeave.Store(true)
 		g.displaced.interruptRead()
+		g.displaced.share.turn.makeRoom()
 	}
 }
 
--- a/coordinator/hostile_clients_test.go
+++ b/coordinator/hostile_clients_test.go
@@ -45,14 +45,18 @@
 	searches, served, lost int
 	slowest                time.Duration
 	peakMemory             int64
+	usedCPU                time.Duration
 }
 
-// count adds what became of a search.
+// count adds what became of a search. Its time counts from its last byte, as the platform counts it; one that could not be
+// written has not been taken.
 func (r *hostileRun) count(t *testing.T, result fleet.ClientResult) {
+	last := result.Attempts[len(result.Attempts)-1]
 	r.searches++
 	r.slowest = max(r.slowest, result.Latency)
+	isWritten := !last.WrittenAt.IsZero()
 	switch {
-	case result.Status == 0 || result.Latency > result.Patience+lateAnswer:
+	case isWritten && (result.Status == 0 || last.EndedAt.Sub(last.WrittenAt) > result.Patience+lateAnswer):
 		r.lost++
 		t.Logf("lost: %s after %v: status %d, %+v", result.ID, result.Latency, result.Status, result.Attempts)
 	case result.Status == 200:
@@ -87,10 +91,15 @@
 		})
 	}
 	searching.Wait()
+	if run.lost > 0 {
+		t.Log(cluster.Log("n"))
+	}
 	require.NoError(t, syscall.Kill(cluster.PID("n"), 0), "the process has ended\n%s", cluster.Log("n"))
 	peak, err := cluster.PeakMemory("n")
 	require.NoError(t, err)
 	run.peakMemory = peak
+	run.usedCPU, err = cluster.UsedCPU("n")
+	require.NoError(t, err)
 	return run
 }
 
@@ -127,3 +136,16 @@
 		})
 	}
 }
+
+// Guards against crowds that overlap, more clients than connections are allowed, so that others wait too long for a place.
+func TestOtherClientsDuringOverlappingCrowds(t *testing.T) {
+	const seed = 10
+	halfBody, halfHead := fake.HostileKinds[1], fake.HostileKinds[2]
+	run := playHostileClients(t, seed, []fake.HostileCrowd{
+		{Kind: halfBody, Clients: 476, Length: 3300 * time.Millisecond},
+		{Kind: halfHead, Clients: 381, Start: 2 * time.Second, Length: 3500 * time.Millisecond},
+	}, hostileLength)
+	t.Logf("%+v", run)
+	require.Zero(t, run.lost)
+	require.LessOrEqual(t, run.peakMemory, int64(fleet.LeastLimits.MemoryMB)<<20)
+}
--- a/coordinator/ingress/ingress_test.go
+++ b/coordinator/ingress/ingress_test.go
@@ -24,7 +24,7 @@
 	suspects := make([]*Turn, 50)
 	for i := range suspects {
 		suspects[i] = NewTurn()
-		s.Request(suspects[i], Suspect)
+		s.Request(suspects[i], Suspect, 0)
 	}
 	used, trusted := time.Duration(0), NewTurn()
 	for now := time.Duration(0); now < length; now += turnCost {
@@ -33,7 +33,7 @@
 			if !isGranted(turn) {
 				continue
 			}
-			s.Request(trusted, Trusted)
+			s.Request(trusted, Trusted, now)
 			require.Zero(t, s.Grant(now)) // no wait for credit, but for the slot
 			require.False(t, isGranted(trusted))
 			s.Finish(turn, turnCost, now)
@@ -41,7 +41,7 @@
 			s.Grant(now)
 			require.True(t, isGranted(trusted))
 			s.Finish(trusted, turnCost, now)
-			s.Request(turn, Suspect)
+			s.Request(turn, Suspect, now)
 		}
 	}
 	share := shares[Suspect] * cores * float64(length)
@@ -55,7 +55,7 @@
 	s := NewScheduler(1, 0)
 	turns := []*Turn{NewTurn(), NewTurn(), NewTurn()}
 	for _, turn := range turns {
-		s.Request(turn, Unproven)
+		s.Request(turn, Unproven, 0)
 	}
 	s.Grant(0)
 	require.True(t, isGranted(turns[0]))
@@ -69,6 +69,25 @@
 	require.True(t, isGranted(turns[2]))
 }
 
+// Guards against new clients that all wait until their time is over because too many came before them.
+func TestLastTurnsGoFirstWhenAllWaitLong(t *testing.T) {
+	s := NewScheduler(1, 0)
+	turns := []*Turn{NewTurn(), NewTurn(), NewTurn(), NewTurn()}
+	s.Request(turns[0], Unproven, 0)
+	s.Grant(0)
+	require.True(t, isGranted(turns[0]))
+	s.Request(turns[1], Unproven, 0)
+	s.Request(turns[2], Unproven, maxOrderedWait/2)
+	s.Request(turns[3], Unproven, maxOrderedWait)
+	s.Finish(turns[0], 0, maxOrderedWait+1)
+	s.Grant(maxOrderedWait + 1)
+	require.True(t, isGranted(turns[3]))
+	require.True(t, s.Withdraw(turns[1]))
+	s.Finish(turns[3], 0, maxOrderedWait+1)
+	s.Grant(maxOrderedWait + 1)
+	require.True(t, isGranted(turns[2]))
+}
+
 // Guards against requests that hold more than the limit together, and against one that is evicted for a larger one.
 func TestRequestsStayWithinTheMemory(t *testing.T) {
 	const large = 64 << 10
--- a/coordinator/ingress/scheduler.go
+++ b/coordinator/ingress/scheduler.go
@@ -27,11 +27,16 @@
 	Unproven: 100 * time.Millisecond, Accepting: 200 * time.Millisecond, Suspect: 20 * time.Millisecond,
 }
 
+// maxOrderedWait is how long the first turn of clients that are not known may wait before the last one that was requested
+// goes first: when all wait too long, the latest requests are the ones whose clients still wait for an answer.
+const maxOrderedWait = 100 * time.Millisecond
+
 // Turn is one client's wait for its turn.
 type Turn struct {
-	priority Priority
-	granted  chan struct{}
-	running  bool
+	priority    Priority
+	requestedAt time.Duration
+	granted     chan struct{}
+	running     bool
 }
 
 // NewTurn returns a turn to be used by one connection, one time after another.
@@ -41,7 +46,7 @@
 func (t *Turn) Granted() <-chan struct{} { return t.granted }
 
 // Scheduler grants turns on the processor: few at once, by priority, each priority within its share of the cores, and in
-// the order of their requests within one. Each turn is one read of a connection and the handling of what it returned.
+// the order of their requests within one, but for maxOrderedWait. Each turn is one read of a connection and the handling of what it returned.
 type Scheduler struct {
 	slots   int // turns that may run at once
 	running int
@@ -79,8 +84,8 @@
 }
 
 // Request asks for a turn.
-func (s *Scheduler) Request(turn *Turn, priority Priority) {
-	turn.priority = priority
+func (s *Scheduler) Request(turn *Turn, priority Priority, now time.Duration) {
+	turn.priority, turn.requestedAt = priority, now
 	s.lanes[priority].waiting = append(s.lanes[priority].waiting, turn)
 }
 
@@ -101,8 +106,7 @@
 		lane := &s.lanes[i]
 		lane.earn(now)
 		for len(lane.waiting) > 0 && s.running < s.slots && lane.mayRun() {
-			turn := lane.waiting[0]
-			lane.waiting = slices.Delete(lane.waiting, 0, 1)
+			turn := lane.takeNext(Priority(i) == Unproven && now-lane.waiting[0].requestedAt > maxOrderedWait)
 			s.running++
 			turn.running = true
 			turn.granted <- struct{}{}
@@ -131,6 +135,17 @@
 	l.updatedAt = now
 }
 
+// takeNext takes the first waiting turn, or the last one.
+func (l *lane) takeNext(last bool) *Turn {
+	at := 0
+	if last {
+		at = len(l.waiting) - 1
+	}
+	turn := l.waiting[at]
+	l.waiting = slices.Delete(l.waiting, at, at+1)
+	return turn
+}
+
 // mayRun reports whether a turn may begin by credit.
 func (l *lane) mayRun() bool { return l.rate == 0 || l.credit > 0 }
 
--- a/coordinator/recent_names.go
+++ b/coordinator/recent_names.go
@@ -4,7 +4,7 @@
 
 const maxRecentNames = 8192 // a minute of searches at the usual rates; takes a few hundred KB
 
-// recentNames remembers the names of the last searches whose attempts may have run, as hashes. Its zero value remembers
+// recentNames remembers the names of the last searches that may have run without an answer to their clients, as hashes. Its zero value remembers
 // none. Only the event loop uses it.
 type recentNames struct {
 	seed   maphash.Seed
@@ -37,6 +37,14 @@
 	n.oldest = (n.oldest + 1) % maxRecentNames
 }
 
+// rememberName remembers the name of a search that ends without an answer, if it may have run: another search of that name
+// would run a second time.
+func (loop *eventLoop) rememberName(search *search) {
+	if search.mayHaveRun() {
+		loop.searches.recent.add(search.name)
+	}
+}
+
 // mayHaveRun reports whether an attempt of the search may have run at a replica.
 func (s *search) mayHaveRun() bool {
 	for _, request := range s.shardRequests {
--- a/coordinator/search.go
+++ b/coordinator/search.go
@@ -25,7 +25,7 @@
 type searchTable struct {
 	byID          map[uint64]*search
 	names         map[string]bool
-	recent        recentNames // of searches that have ended and may have run
+	recent        recentNames // of searches that have ended without an answer and may have run
 	shardRequests map[uint64]*shardRequest
 	lastID        uint64         // of searches and shard requests
 	pendingWrites []pendingWrite // the array that finishSearch reuses for what it returns
@@ -58,6 +58,7 @@
 	shardRequests     []*shardRequest
 	ended             bool
 	heldBytes         int64
+	reservedBytes     int            // of the memory for clients' requests
 	pendingWrites     []pendingWrite // of attempts that were given up during their write
 
 	restricted bool                           // a residency contract forbids some hosts for its shard requests
@@ -107,6 +108,7 @@
 func (loop *eventLoop) startSearch(search *search) {
 	if loop.searches.names[search.name] || loop.searches.recent.has(search.name) { // replicas could not tell the attempts of the two searches apart
 		search.ended = true
+		search.releaseCopies()
 		search.reply(searchOutcome{outcome: outcomeDuplicateID})
 		return
 	}
--- a/coordinator/search_end.go
+++ b/coordinator/search_end.go
@@ -69,6 +69,7 @@
 		}
 		outcome.dispatched = slices.ContainsFunc(search.shardRequests, func(request *shardRequest) bool { return len(request.attempts) > 0 })
 		loop.notifySearchEnd(search, outcome.outcome)
+		loop.rememberName(search)
 		outcome.pendingWrites = loop.finishSearch(search)
 		search.reply(outcome)
 	}
@@ -81,6 +82,7 @@
 		return nil
 	}
 	loop.notifySearchEnd(search, outcomeClientGone)
+	loop.rememberName(search)
 	pending = loop.finishSearch(search)
 	loop.balancer.CancelSearch(search.id)
 	return pending
@@ -154,9 +156,7 @@
 		}
 		loop.dropShardRequest(request)
 	}
-	if search.mayHaveRun() {
-		loop.searches.recent.add(search.name)
-	}
+	search.releaseCopies()
 	search.shardRequests, search.text, search.shards, search.weights, search.pendingWrites = nil, nil, nil, nil, nil // an idle client connection refers to its last search, and would keep these in memory
 	return pending
 }
--- a/internal/clustertest/audit.go
+++ b/internal/clustertest/audit.go
@@ -34,8 +34,9 @@
 type Attempt struct {
 	Target             string
 	StartedAt, EndedAt time.Time
-	Refused, Closed    bool   // the connect; the connection under the request, before its answer
-	Failure            string // empty where an answer came
+	WrittenAt          time.Time // when its last byte was written; zero where it was not
+	Refused, Closed    bool      // the connect; the connection under the request, before its answer
+	Failure            string    // empty where an answer came
 }
 
 // ClientResult is what a client saw of one search, over all its tries.
--- a/internal/clustertest/clients.go
+++ b/internal/clustertest/clients.go
@@ -147,6 +147,7 @@
 		c.SetDeadline(until)
 		begun := false // an answer
 		if _, err = c.Write([]byte(s.Encode())); err == nil {
+			t.WrittenAt = time.Now()
 			if err = c.rd.AwaitMessage(); err == nil {
 				begun = true
 				var body []byte
--- a/internal/clustertest/limits.go
+++ b/internal/clustertest/limits.go
@@ -48,6 +48,9 @@
 	return 0, errNoStatus
 }
 
+// UsedCPU returns the processor time that an instance's process has used.
+func (r *Cluster) UsedCPU(name string) (time.Duration, error) { return usedCPU(r.PID(name)) }
+
 // EnforceCores lets an instance use its share of a core in each period, as the platform does, until ctx ends: a process that has used its
 // share is suspended for the rest of the period.
 func (r *Cluster) EnforceCores(ctx context.Context, name string, cores float64) error {
--- a/internal/fake/hostile_client.go
+++ b/internal/fake/hostile_client.go
@@ -24,6 +24,7 @@
 	floodBatchRequests  = 64 // requests in one write of a client that does not wait for answers
 	maxHostileCrowd     = 500
 	maxHostileFlooders  = 16
+	hostileBlocks       = 8 // that a search may name
 )
 
 // HostileKind is a kind of client that misbehaves. Its play function plays one connection after another until ctx ends.
@@ -48,6 +49,8 @@
 	{"stop within a head of many fields", true, playHalfHead},
 	{"large bodies in tiny chunks that stop", true, playHalfChunks},
 	{"silent", true, playSilent},
+	{"sound searches of the longest body over all blocks", true, playLongSearches},
+	{"sound searches, gone before the answer", false, playSearchAndLeave},
 	{"one byte at a time at full speed", false, playDribble},
 	{"heads of many fields", false, floodOf(manyFieldsHead)},
 	{"heads that repeat one field", false, floodOf(repeatedFieldHead)},
@@ -245,6 +248,23 @@
 	})
 }
 
+func playLongSearches(ctx context.Context, c hostileClient) {
+	c.eachConnection(ctx, func(conn net.Conn) {
+		sendAndAwait(conn, func() string {
+			var ranges []string
+			for block := range hostileBlocks {
+				ranges = append(ranges, fmt.Sprintf(`{"range":%d,"portion":%g}`, block, 1.0/hostileBlocks))
+			}
+			text := strings.Repeat("x", maxHostileBodyBytes-1024)
+			return c.withBody(fmt.Sprintf(`{"ranges":[%s],"predicate":%q}`, strings.Join(ranges, ","), text))
+		})
+	})
+}
+
+func playSearchAndLeave(ctx context.Context, c hostileClient) {
+	c.eachConnection(ctx, func(conn net.Conn) { _, _ = io.WriteString(conn, c.withBody(soundBody("x"))) })
+}
+
 func playSilent(ctx context.Context, c hostileClient) {
 	c.eachConnection(ctx, func(conn net.Conn) { holdOpen(ctx, conn) })
 }
