--- a/coordinator/client_ingress.go
+++ b/coordinator/client_ingress.go
@@ -13,7 +13,7 @@
 const (
 	turnCost         = 20 * time.Microsecond  // of waking a connection's goroutine and reading
 	byteCost         = 20 * time.Nanosecond   // of reading and parsing a byte
-	maxFirstTurnWait = 500 * time.Millisecond // for the first turn of a request, of which nothing has been read
+	maxFirstTurnWait = 250 * time.Millisecond // for the first turn of a request, of which nothing has been read
 	maxLingerWait    = 100 * time.Millisecond // for a turn of a connection whose last answer has been written
 	answerCost       = 80 * time.Microsecond  // of an answer that the connection's own goroutine gives
 	connectionCost   = 100 * time.Microsecond // of accepting and ending a connection
--- a/coordinator/connection_limiter.go
+++ b/coordinator/connection_limiter.go
@@ -16,13 +16,17 @@
 
 	mu        sync.Mutex
 	open      int
-	idle      list.List         // of *clientConnection, longest idle first
-	displaced *clientConnection // asked to make room; its reader ends it, unless it has read something first
+	idle      list.List                  // of *clientConnection, longest idle first
+	displaced map[*clientConnection]bool // asked to make room; their readers end them, unless they have read something first
+	pressure  int                        // new connections in a row that had to wait for room, up to maxDisplaced
 }
 
+// maxDisplaced is how many connections are asked to make room at once, when many new ones have come one after another.
+const maxDisplaced = 16
+
 // newConnectionLimiter returns a limiter for the given number of connections, at least one.
 func newConnectionLimiter(limit int) *connectionLimiter {
-	return &connectionLimiter{limit: max(1, limit), changed: make(chan struct{}, 1)}
+	return &connectionLimiter{limit: max(1, limit), changed: make(chan struct{}, 1), displaced: map[*clientConnection]bool{}}
 }
 
 // signalChanged wakes a connection that waits in admit.
@@ -43,17 +47,8 @@
 
 // admit blocks until there is room for a new connection, and returns false once canceled is closed.
 func (g *connectionLimiter) admit(client *clientConnection, canceled <-chan struct{}) bool {
-	for {
-		g.mu.Lock()
-		room := g.open < g.limit
-		if room {
-			g.open++
-			client.idleElement = g.idle.PushBack(client)
-		} else if g.displaced == nil {
-			g.displace()
-		}
-		g.mu.Unlock()
-		if room {
+	for waited := false; ; waited = true {
+		if g.tryAdmit(client, waited) {
 			return true
 		}
 		select {
@@ -64,20 +59,48 @@
 	}
 }
 
-// displace asks the longest idle connection to make room or, if none is idle, the first one in the list.
-func (g *connectionLimiter) displace() {
+// tryAdmit admits a new connection if there is room, and asks others to make room if not: one, or several if many new
+// connections in a row have found none.
+func (g *connectionLimiter) tryAdmit(client *clientConnection, waited bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open < g.limit {
+		g.open++
+		client.idleElement = g.idle.PushBack(client)
+		if !waited {
+			g.pressure /= 2
+		}
+		return true
+	}
+	if !waited {
+		g.pressure = min(g.pressure+1, maxDisplaced)
+	}
+	for len(g.displaced) < max(1, g.pressure) && g.displace() {
+	}
+	return false
+}
+
+// displace asks the longest idle connection to make room or, if none is idle, the first one in the list. It returns false
+// if there is none to ask.
+func (g *connectionLimiter) displace() bool {
+	var found *clientConnection
 	for e := g.idle.Front(); e != nil; e = e.Next() {
-		if client := e.Value.(*clientConnection); g.displaced == nil || !client.requestBegun {
-			if g.displaced = client; !client.requestBegun {
-				break
-			}
+		client := e.Value.(*clientConnection)
+		if g.displaced[client] || found != nil && client.requestBegun {
+			continue
+		}
+		if found = client; !client.requestBegun {
+			break
 		}
 	}
-	if g.displaced != nil {
-		g.displaced.askedToLeave.Store(true)
-		g.displaced.interruptRead()
-		g.displaced.share.turn.makeRoom()
+	if found == nil {
+		return false
 	}
+	g.displaced[found] = true
+	found.askedToLeave.Store(true)
+	found.interruptRead()
+	found.share.turn.makeRoom()
+	return true
 }
 
 // markRequestBegun records that the first bytes of a request have been read. If the connection was just asked to make
@@ -101,8 +124,8 @@
 
 // cancelDisplacement lets a connection that was asked to make room stay open, so that another one is asked.
 func (g *connectionLimiter) cancelDisplacement(client *clientConnection) {
-	if g.displaced == client {
-		g.displaced = nil
+	if g.displaced[client] {
+		delete(g.displaced, client)
 		client.askedToLeave.Store(false)
 		g.signalChanged()
 	}
@@ -134,8 +157,6 @@
 	defer g.mu.Unlock()
 	g.removeIdle(client)
 	g.open--
-	if g.displaced == client {
-		g.displaced = nil
-	}
+	delete(g.displaced, client)
 	g.signalChanged()
 }
--- a/coordinator/hostile_clients_test.go
+++ b/coordinator/hostile_clients_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	soakSeedsVariable = "CHALKRING_SOAK_SEEDS" // how many seeds TestOtherClientsDuringHostileOnes plays; hostileSeeds if it is empty
+	soakSeedsVariable = "CHALKRING_SOAK_SEEDS" // how many seeds the tests with drawn clients play; hostileSeeds if it is empty
 	soakFirstVariable = "CHALKRING_SOAK_FIRST" // the first of them; 1 if it is empty
 
 	hostileSeeds  = 4
@@ -43,6 +43,7 @@
 // hostileRun is what clients saw while hostile ones were there.
 type hostileRun struct {
 	searches, served, lost int
+	lostOfPatient          int // of those whose clients wait for longPatience
 	slowest                time.Duration
 	peakMemory             int64
 	usedCPU                time.Duration
@@ -58,6 +59,9 @@
 	switch {
 	case isWritten && (result.Status == 0 || last.EndedAt.Sub(last.WrittenAt) > result.Patience+lateAnswer):
 		r.lost++
+		if result.Patience == longPatience {
+			r.lostOfPatient++
+		}
 		t.Logf("lost: %s after %v: status %d, %+v", result.ID, result.Latency, result.Status, result.Attempts)
 	case result.Status == 200:
 		r.served++
@@ -119,6 +123,22 @@
 	}
 }
 
+// Guards against hostile clients that end the process, take it over its memory, or leave clients that wait as long as most do
+// without an answer.
+func TestProcessStaysWithinLimitsDuringHostileClients(t *testing.T) {
+	first := envNumber(t, soakFirstVariable, 1)
+	for seed := first; seed < first+envNumber(t, soakSeedsVariable, hostileSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			crowds := fake.DrawHostileCrowds(int64(seed), hostileLength)
+			run := playHostileClients(t, int64(seed), crowds, hostileLength)
+			t.Logf("%v: %+v", crowds, run)
+			require.Zero(t, run.lostOfPatient)
+			require.GreaterOrEqual(t, float64(run.served), leastServed*float64(run.searches))
+			require.LessOrEqual(t, run.peakMemory, int64(fleet.LeastLimits.MemoryMB)<<20)
+		})
+	}
+}
+
 // Guards against a kind of hostile client that alone uses up the process's memory or processor.
 func TestOtherClientsDuringEachKindOfHostileOnes(t *testing.T) {
 	const length = 4 * time.Second
