Keep the connections of served clients while crowds of unfinished requests make room

Cause: idle connections made room before any request that was arriving. Clients that rest between requests were the first to lose their places to a crowd that stops half way, and had to queue behind it again.

Change: a connection whose client was never served goes first, idle ones before arriving requests; idle ones of served clients keep a third of the places, which is what the platform's clients use at most. If they hold more, the longest idle one goes before arriving requests, as before.

TestServedClientsKeepTheirConnections failed before (end of the stream in place of the second answer).

--- a/coordinator/connection_limiter.go
+++ b/coordinator/connection_limiter.go
@@ -1,15 +1,17 @@
 package coordinator
 
 import (
+	"cmp"
 	"container/list"
 	"sync"
+
+	"chalkring/coordinator/ingress"
 )
 
 // connectionLimiter limits how many client connections are open. A connection is busy from a complete request to its
 // answer; otherwise it is idle, or a request is arriving. Connections that are not busy are kept in a list, longest
-// idle first. With no descriptor left, a new connection displaces the longest idle one or, if none is idle, the first
-// one in the list, whose request is arriving; never a busy one. This keeps clients from using up the descriptors with
-// connections that they do not use.
+// idle first. With no descriptor left, a new connection displaces one of them, as findDisplaceable says; never a busy one.
+// This keeps clients from using up the descriptors with connections that they do not use.
 type connectionLimiter struct {
 	limit   int
 	changed chan struct{} // a connection has left or become idle
@@ -21,6 +23,10 @@
 	pressure  int                        // new connections in a row that had to wait for room, up to maxDisplaced
 }
 
+// keptIdleShare is the share of the connections that idle ones of clients that were served may keep while requests of
+// other clients are arriving. The platform's clients use a third of the descriptors at most.
+const keptIdleShare = 1.0 / 3
+
 // maxDisplaced is how many connections are asked to make room at once, when many new ones have come one after another.
 const maxDisplaced = 16
 
@@ -80,19 +86,9 @@
 	return false
 }
 
-// displace asks the longest idle connection to make room or, if none is idle, the first one in the list. It returns false
-// if there is none to ask.
+// displace asks a connection to make room. It returns false if there is none to ask.
 func (g *connectionLimiter) displace() bool {
-	var found *clientConnection
-	for e := g.idle.Front(); e != nil; e = e.Next() {
-		client := e.Value.(*clientConnection)
-		if g.displaced[client] || found != nil && client.requestBegun {
-			continue
-		}
-		if found = client; !client.requestBegun {
-			break
-		}
-	}
+	found := g.findDisplaceable()
 	if found == nil {
 		return false
 	}
@@ -103,6 +99,36 @@
 	return true
 }
 
+// findDisplaceable returns the connection that has to make room next, or nil: the longest idle one whose client was never
+// served, otherwise the first one whose request is arriving and whose client was never served, otherwise the longest idle
+// one, otherwise the first one in the list. If idle connections of clients that were served hold more than their share,
+// these go before requests that are arriving.
+func (g *connectionLimiter) findDisplaceable() *clientConnection {
+	var first, firstUnserved, idle *clientConnection
+	servedIdle := 0
+	for e := g.idle.Front(); e != nil; e = e.Next() {
+		client := e.Value.(*clientConnection)
+		if g.displaced[client] {
+			continue
+		}
+		wasServed := client.share.standing.priority() == ingress.Trusted && !client.lastAnswerWritten.Load()
+		switch {
+		case !wasServed && !client.requestBegun:
+			return client
+		case !wasServed:
+			firstUnserved = cmp.Or(firstUnserved, client)
+		case !client.requestBegun:
+			idle = cmp.Or(idle, client)
+			servedIdle++
+		}
+		first = cmp.Or(first, client)
+	}
+	if float64(servedIdle) > keptIdleShare*float64(g.limit) {
+		return idle
+	}
+	return cmp.Or(firstUnserved, idle, first)
+}
+
 // markRequestBegun records that the first bytes of a request have been read. If the connection was just asked to make
 // room, it stays open: bytes that were read must not be lost while another connection can make room.
 func (g *connectionLimiter) markRequestBegun(client *clientConnection) {
--- a/coordinator/connection_limiter_test.go
+++ b/coordinator/connection_limiter_test.go
@@ -121,3 +121,16 @@
 	last.expect("last", "all", 200, completeAnswer)
 	end()
 }
+
+// Guards against crowds whose requests never end taking the places of clients that were served and rest between requests.
+func TestServedClientsKeepTheirConnections(t *testing.T) {
+	r := start(t, 16, nil)
+	call, end := r.startPiped()
+	served := call(nil)
+	served.expect("first", "all", 200, completeAnswer)
+	for range 30 { // many times what there is room for
+		call(nil).send("P")
+	}
+	served.expect("second", "all", 200, completeAnswer)
+	end()
+}
