Do not ask clients that have just connected to make room while others rest

Cause: among the connections that make room the idle ones of clients never served went first, and with several asked at once these were those that had just come and whose request was on its way.

Change: for half a second a connection counts as new and goes after resting ones, after requests that arrive slowly and after idle ones of served clients. Also: health checks do not count as served searches, else they would have an unlimited priority; an answer that was noted as written is not waited for again; an event loop of several has its part of the cores.

--- a/coordinator/client_answer.go
+++ b/coordinator/client_answer.go
@@ -18,7 +18,7 @@
 	case outcomeAnswered:
 		c.share.standing.recordServed()
 	case outcomeShed:
-		c.share.standing.recordShed()
+		c.share.standing.recordOther()
 	case outcomeDuplicateID:
 		c.share.standing.recordRefused()
 	}
--- a/coordinator/client_connection.go
+++ b/coordinator/client_connection.go
@@ -29,6 +29,7 @@
 	*messageConn
 	idleElement       *list.Element // in the limiter's list while no request is in progress; owned by the limiter
 	requestBegun      bool          // the first bytes of a request have been read; owned by the limiter
+	listedAt          time.Time     // when it became idle or its request began to arrive; owned by the limiter
 	conn              net.Conn
 	reader            *http1.Reader
 	readiness         *readiness // nil if the connection's socket is not known
@@ -235,9 +236,7 @@
 	c.awaitingAnswer = true
 	c.respond(status, "", []byte("{}"), false)
 	c.linger()
-	if c.isAwaitingAnswer() {
-		_ = c.awaitAnswer(ctx) // the connection ends in any case
-	}
+	_ = c.awaitAnswer(ctx) // the connection ends in any case
 }
 
 // handlePipelined handles bytes that arrived before the answer to the previous request was completely written. If that
@@ -288,14 +287,16 @@
 // errNextRequest ends reading ahead, since the awaited answer has been written.
 var errNextRequest = errors.New("previous request is answered; the next one can be read")
 
-// awaitAnswer blocks until the awaited answer is written.
+// awaitAnswer blocks until the awaited answer is written, if there is one.
 func (c *clientConnection) awaitAnswer(ctx context.Context) error {
 	c.endTurn()
-	select {
-	case <-c.answered:
-		c.awaitingAnswer = false
-	case <-ctx.Done():
-		return errClosing
+	if c.isAwaitingAnswer() {
+		select {
+		case <-c.answered:
+			c.awaitingAnswer = false
+		case <-ctx.Done():
+			return errClosing
+		}
 	}
 	if c.lastAnswerWritten.Load() {
 		return errClosing
--- a/coordinator/client_request.go
+++ b/coordinator/client_request.go
@@ -45,6 +45,7 @@
 		return c.serveHealth(method, keep)
 	}
 	if path == "/metrics" && method == http.MethodGet && (loop.shadowCounts != nil || loop.enforcer != nil) {
+		c.share.standing.recordOther()
 		body := loop.metricsBody()
 		c.endTurn()
 		loop.submit(func() { c.respond(200, "Content-Type: text/plain; version=0.0.4", body, keep) })
@@ -104,6 +105,7 @@
 		return requestError{405, "/healthz needs the method GET"}
 	}
 	loop := c.loop
+	c.share.standing.recordOther()
 	c.share.cost += searchCost
 	c.endTurn()
 	loop.submit(func() {
--- a/coordinator/client_standing.go
+++ b/coordinator/client_standing.go
@@ -18,8 +18,9 @@
 // recordRefused records a request that could not be served, whatever the load.
 func (s *standing) recordRefused() { s.refused.Store(max(s.refused.Load(), 0) + 1) }
 
-// recordShed records a search that was shed, which is not its client's fault.
-func (s *standing) recordShed() { s.refused.CompareAndSwap(wasServed, 0) }
+// recordOther records a request whose client is neither at fault nor was served a search: one that is no search, or a search
+// that was shed.
+func (s *standing) recordOther() { s.refused.CompareAndSwap(wasServed, 0) }
 
 // priority returns the priority of the client's next turn.
 func (s *standing) priority() ingress.Priority {
--- a/coordinator/connection_limiter.go
+++ b/coordinator/connection_limiter.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/list"
 	"sync"
+	"time"
 
 	"chalkring/coordinator/ingress"
 )
@@ -27,6 +28,9 @@
 // other clients are arriving. The platform's clients use a third of the descriptors at most.
 const keptIdleShare = 1.0 / 3
 
+// freshTime is how long a connection, or a request that is arriving on one, counts as new: most requests come at once.
+const freshTime = 500 * time.Millisecond
+
 // maxDisplaced is how many connections are asked to make room at once, when many new ones have come one after another.
 const maxDisplaced = 16
 
@@ -72,7 +76,7 @@
 	defer g.mu.Unlock()
 	if g.open < g.limit {
 		g.open++
-		client.idleElement = g.idle.PushBack(client)
+		client.idleElement, client.listedAt = g.idle.PushBack(client), time.Now()
 		if !waited {
 			g.pressure /= 2
 		}
@@ -99,34 +103,39 @@
 	return true
 }
 
-// findDisplaceable returns the connection that has to make room next, or nil: the longest idle one whose client was never
-// served, otherwise the first one whose request is arriving and whose client was never served, otherwise the longest idle
-// one, otherwise the first one in the list. If idle connections of clients that were served hold more than their share,
-// these go before requests that are arriving.
+// findDisplaceable returns the connection that has to make room next, or nil. Of each of these kinds the first in the list
+// goes: idle ones whose clients were never served; idle ones of served clients, if they hold more than their share; requests
+// that arrive slowly and whose clients were never served; idle ones of served clients; connections that have just come and
+// whose request may be on its way; requests that are arriving.
 func (g *connectionLimiter) findDisplaceable() *clientConnection {
-	var first, firstUnserved, idle *clientConnection
+	var slow, idle, fresh, arriving *clientConnection
 	servedIdle := 0
+	now := time.Now()
 	for e := g.idle.Front(); e != nil; e = e.Next() {
 		client := e.Value.(*clientConnection)
 		if g.displaced[client] {
 			continue
 		}
 		wasServed := client.share.standing.priority() == ingress.Trusted && !client.lastAnswerWritten.Load()
+		isSettled := now.Sub(client.listedAt) > freshTime
 		switch {
-		case !wasServed && !client.requestBegun:
-			return client
-		case !wasServed:
-			firstUnserved = cmp.Or(firstUnserved, client)
-		case !client.requestBegun:
+		case client.requestBegun && isSettled && !wasServed:
+			slow = cmp.Or(slow, client)
+		case client.requestBegun:
+			arriving = cmp.Or(arriving, client)
+		case wasServed:
 			idle = cmp.Or(idle, client)
 			servedIdle++
+		case isSettled || client.lastAnswerWritten.Load():
+			return client
+		default:
+			fresh = cmp.Or(fresh, client)
 		}
-		first = cmp.Or(first, client)
 	}
 	if float64(servedIdle) > keptIdleShare*float64(g.limit) {
 		return idle
 	}
-	return cmp.Or(firstUnserved, idle, first)
+	return cmp.Or(slow, idle, fresh, arriving)
 }
 
 // markRequestBegun records that the first bytes of a request have been read. If the connection was just asked to make
@@ -135,7 +144,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !client.requestBegun {
-		client.requestBegun = true
+		client.requestBegun, client.listedAt = true, time.Now()
 		g.cancelDisplacement(client)
 	}
 }
@@ -171,6 +180,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.removeIdle(client)
+	client.listedAt = time.Now()
 	if client.idleElement = g.idle.PushBack(client); last {
 		g.idle.MoveToFront(client.idleElement)
 	}
--- a/coordinator/plan/settings.go
+++ b/coordinator/plan/settings.go
@@ -72,7 +72,7 @@
 // and its own seed. In rules that depend on the number of coordinators, each event loop counts as a coordinator.
 func (p *Plan) ForShard(index, n int) *Plan {
 	own := *p
-	own.MaxSockets, own.MemoryMB = p.MaxSockets/n, max(1, p.MemoryMB/n)
+	own.MaxSockets, own.MemoryMB, own.Cores = p.MaxSockets/n, max(1, p.MemoryMB/n), p.Cores/float64(n)
 	own.Seed = p.Seed + int64(index)*shardSeedStep
 	own.Settings, own.ShadowSettings = maps.Clone(p.Settings), maps.Clone(p.ShadowSettings)
 	factors := map[string]float64{"Balancers": float64(n), "Safety.ExtraFloor": 1 / float64(n)}
