--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec bin/review-2 endless-line review/10/record.txt
+exec bin/review-2 hidden-request review/10/record.txt
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -24,7 +24,7 @@
 	ranges    []int
 	deadline  time.Duration
 	predicate string
-	isRetry   bool
+	tenant    string
 }
 
 func (q query) encode() string {
@@ -33,12 +33,12 @@
 		all = append(all, fmt.Sprintf(`{"range":%d,"portion":%.6f}`, x, 1/float64(len(q.ranges))))
 	}
 	body := fmt.Sprintf(`{"ranges":[%s],"predicate":%q}`, strings.Join(all, ","), q.predicate)
-	retry := ""
-	if q.isRetry {
-		retry = "X-Retry: 1\r\n"
+	tenant := ""
+	if q.tenant != "" {
+		tenant = "X-Tenant: " + q.tenant + "\r\n"
 	}
 	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %.3f\r\n%sContent-Length: %d\r\n\r\n%s",
-		q.class, q.id, q.class, q.deadline.Seconds(), retry, len(body), body)
+		q.class, q.id, q.class, q.deadline.Seconds(), tenant, len(body), body)
 }
 
 func dial(addr string) net.Conn {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -30,11 +30,12 @@
 // cases are those of the folders review/6 to review/10, in their order, and then those that the report names beside them.
 var cases = map[string]func(*run) verdict{
 	"second-copy":    secondCopy,
+	"lease-ends":     leaseEnds,
 	"open-id":        openID,
 	"bad-file":       badFile,
 	"hidden-request": hiddenRequest,
-	"endless-line":   endlessLine,
 
+	"endless-line":   endlessLine,
 	"shed-after-run": shedAfterRun,
 	"half-bodies":    halfBodies,
 	"send-and-go":    sendAndGo,
--- a/review/standins-2/plan.go
+++ b/review/standins-2/plan.go
@@ -37,6 +37,7 @@
 	sockets                 int
 	cores                   float64
 	known                   string
+	tenant                  string // empty for a plan without tenants
 }
 
 func defaultSite(name string) site {
@@ -77,6 +78,9 @@
 			},
 		},
 	}
+	if s.tenant != "" {
+		plan["settings"].(map[string]any)["Tenants"] = []map[string]any{{"Name": s.tenant, "QuotaPerS": 100.0, "Share": 1.0}}
+	}
 	text, err := json.MarshalIndent(plan, "", " ")
 	if err != nil {
 		giveUp("%v", err)
