Stand-ins of the second review: a fleet whose listed member is away

Change: a further test among the stand-ins, without a case of its own, and review/build-2.sh builds without flags, workspace and cgo.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/standins-2"
 mkdir -p ../../bin
-go build -o ../../bin/review-2 .
+GOFLAGS= GOWORK=off CGO_ENABLED=0 go build -o ../../bin/review-2 .
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -35,6 +35,7 @@
 	"bad-file":       badFile,
 	"hidden-request": hiddenRequest,
 
+	"away-member":    awayMember,
 	"endless-line":   endlessLine,
 	"shed-after-run": shedAfterRun,
 	"half-bodies":    halfBodies,
--- a/review/standins-2/run.go
+++ b/review/standins-2/run.go
@@ -204,3 +204,16 @@
 	}
 	return 0
 }
+
+// awaitListening waits until a co-ordinator's health check answers at all; without replicas it is 503.
+func (r *run) awaitListening(p *process, addr string) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until) && !p.hasEnded(); time.Sleep(20 * time.Millisecond) {
+		if response, err := client.Get("http://" + addr + "/healthz"); err == nil {
+			response.Body.Close()
+			r.record(p.name, "listens")
+			return
+		}
+	}
+	giveUp("%s does not listen; its log: %s", p.name, p.lastLog())
+}
