Serve the OpenSearch-style front by the platform front's parser: no hidden requests

Cause: net/http drops the length of such a request, serves the chunks and reads the rest as the next request; its handler cannot see that. internal/http1 refuses such messages, but stood before the platform's own front alone.

Change: internal/httpserver reads requests by internal/http1 and calls the front's handler. http1.Reader gets a limit for bodies and reads head and body separately. Field and size limits, 400 for ambiguous lengths, a panic that ends one connection, retried accepts and bounded log lines come with it. golang.org/x/net is no direct dependency any more.

Frontend, http1, httpserver tests with the race detector and the published client's tests pass.

--- a/coordinator/client_request_test.go
+++ b/coordinator/client_request_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net/url"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"chalkring/internal/fake"
 )
 
 // Malformed and invalid requests get their error status, and no replica gets a shard request for them. After a malformed
@@ -148,3 +151,20 @@
 		}
 	})
 }
+
+// Guards against request smuggling on the platform's own front: a request whose body's end is ambiguous is refused and its
+// connection closed, and what hides in the body never reaches a replica.
+func TestHiddenRequestsAreRefused(t *testing.T) {
+	r := start(t, 64, nil)
+	hidden := request("hidden", "all", "", fourParts)
+	for seed := range int64(40) {
+		begin, body, _ := strings.Cut(request(fmt.Sprint("visible-", seed), "all", "", fourParts), "Content-Length: ")
+		_, body, _ = strings.Cut(body, "\r\n\r\n")
+		client := r.connect().send(fake.DrawHiddenRequest(rand.New(rand.NewSource(seed)), begin, body, hidden))
+		status, _, _, keep := client.readAnswer()
+		require.GreaterOrEqual(t, status, 400, "seed %d", seed)
+		require.False(t, keep, "seed %d", seed)
+		client.Close()
+	}
+	require.Zero(t, r.parts(), "shard requests of refused or hidden requests")
+}
--- a/internal/http1/accounted.go
+++ b/internal/http1/accounted.go
@@ -25,7 +25,7 @@
 // NewAccountedReader returns a reader that takes its buffers from a pool: none while it waits for a message, larger ones
 // as bytes arrive. Close gives back what it holds.
 func NewAccountedReader(source AccountedSource) *Reader {
-	return &Reader{source: source, accounted: source}
+	return &Reader{source: source, accounted: source, bodyLimit: maxBodyBytes}
 }
 
 // bufferPools hold the buffers that are not in use, by size: minBufferBytes, twice that, and so on up to maxBufferBytes.
@@ -92,8 +92,8 @@
 	if err := r.accounted.AwaitBytes(); err != nil {
 		return nil, err
 	}
-	if len(body)+n > maxBodyBytes {
-		return nil, bodyTooLarge()
+	if len(body)+n > r.bodyLimit {
+		return nil, r.bodyTooLarge()
 	}
 	body, err := r.growBody(body, 1, toCome)
 	if err != nil {
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -10,10 +10,6 @@
 // maxBodyBytes is the longest body that the service's protocol allows.
 const maxBodyBytes = 64 << 10
 
-// maxFramingBytes is how long the size lines and line ends of a chunked body may be together: as long as the body itself,
-// so that single bytes of data cannot cost many times their number.
-const maxFramingBytes = 64 << 10
-
 // chunkLineEnds is the length of the two line ends of a chunk.
 const chunkLineEnds = 4
 
@@ -39,7 +35,7 @@
 		}
 		return r.readChunks()
 	}
-	n, err := parseLength(length, 10)
+	n, err := r.parseLength(length, 10)
 	if err != nil {
 		return nil, err
 	}
@@ -51,20 +47,20 @@
 }
 
 // parseLength parses the length of a body or chunk. It accepts digits only.
-func parseLength(text string, base int) (int, error) {
+func (r *Reader) parseLength(text string, base int) (int, error) {
 	const bits = 62 // fits an int on every platform that the program runs on
 	n, err := strconv.ParseUint(text, base, bits)
 	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return 0, invalidMessage(statusBadRequest, "invalid length %.20q, expected digits only", text)
 	}
-	if n > maxBodyBytes {
-		return 0, bodyTooLarge()
+	if n > uint64(r.bodyLimit) {
+		return 0, r.bodyTooLarge()
 	}
 	return int(n), nil
 }
 
-func bodyTooLarge() error {
-	return invalidMessage(statusContentTooLarge, "body over %d bytes", maxBodyBytes)
+func (r *Reader) bodyTooLarge() error {
+	return invalidMessage(statusContentTooLarge, "body over %d bytes", r.bodyLimit)
 }
 
 // appendBody appends the next n bytes of the stream to body, to which toCome bytes at most will be appended in all. Memory
@@ -88,8 +84,8 @@
 		}
 		received := r.buffer[r.start:r.end]
 		received = received[:min(n, len(received))]
-		if len(body)+len(received) > maxBodyBytes {
-			return nil, bodyTooLarge()
+		if len(body)+len(received) > r.bodyLimit {
+			return nil, r.bodyTooLarge()
 		}
 		var err error
 		if body, err = r.growBody(body, len(received), toCome-(len(body)-begin)); err != nil {
@@ -114,34 +110,35 @@
 				return nil, err
 			}
 		}
-		if body, err = r.appendBody(body, r.end-r.start, maxBodyBytes-len(body)); err != nil {
+		if body, err = r.appendBody(body, r.end-r.start, r.bodyLimit-len(body)); err != nil {
 			return nil, err
 		}
 	}
 }
 
 // readChunks reads a chunked body. Every chunk is copied, because reading beyond a chunk may move or overwrite the
-// contents of the buffer.
+// contents of the buffer. The size lines and line ends together may be as long as the longest body, so that single bytes of
+// data cannot cost many times their number.
 func (r *Reader) readChunks() ([]byte, error) {
 	body := []byte{}
-	for framingBytesLeft := maxFramingBytes; ; {
+	for framingBytesLeft := r.bodyLimit; ; {
 		r.headBytesLeft = maxHeadBytes
 		line, err := r.readLine()
 		if err != nil {
 			return nil, err
 		}
 		if framingBytesLeft -= len(line) + chunkLineEnds; framingBytesLeft < 0 {
-			return nil, invalidMessage(statusContentTooLarge, "chunked body with size lines of over %d bytes", maxFramingBytes)
+			return nil, invalidMessage(statusContentTooLarge, "chunked body with size lines of over %d bytes", r.bodyLimit)
 		}
 		size, _, _ := strings.Cut(line, ";")
-		n, err := parseLength(strings.TrimRight(size, " \t"), 16)
+		n, err := r.parseLength(strings.TrimRight(size, " \t"), 16)
 		if err != nil {
 			return nil, err
 		}
 		if n == 0 {
 			return body, r.skipTrailers()
 		}
-		if body, err = r.appendBody(body, n, maxBodyBytes-len(body)); err != nil {
+		if body, err = r.appendBody(body, n, r.bodyLimit-len(body)); err != nil {
 			return nil, err
 		}
 		line, err = r.readLine()
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -12,31 +12,61 @@
 	statusDigits = 3
 )
 
+// RequestHead is the start line and the header fields of a request.
+type RequestHead struct {
+	Method, Target string
+	IsHTTP10       bool              // the client speaks HTTP/1.0
+	Fields         map[string]string // by name in lower case; valid until the next message is read
+	KeepAlive      bool              // the client keeps the connection open
+}
+
+// HasBody reports whether the head announces a body.
+func (h RequestHead) HasBody() bool { return hasBody(h.Fields) }
+
 // ReadRequest reads one request. keepAlive reports whether the client keeps the connection open. fields and body are
-// valid until the next call.
+// valid until the next call. A POST request has to announce a body.
 //
 // It returns an InvalidMessageError for an invalid request, io.ErrUnexpectedEOF if the stream ends before a complete
 // request, and otherwise the error of the stream. After an error, no further message can be read from the stream.
 func (r *Reader) ReadRequest() (method, target string, fields map[string]string, body []byte, keepAlive bool, err error) {
+	head, err := r.ReadRequestHead()
+	switch {
+	case err != nil:
+	case head.HasBody():
+		body, err = r.ReadRequestBody(head)
+	case head.Method == "POST":
+		err = invalidMessage(statusLengthRequired, "POST request without a body length, expected Content-Length or chunked Transfer-Encoding")
+	}
+	return head.Method, head.Target, head.Fields, body, head.KeepAlive, err
+}
+
+// ReadRequestHead reads the head of a request. ReadRequestBody has to follow, whether the head announces a body or not. The
+// errors are the same as those of ReadRequest; with one, the head has what was read before.
+func (r *Reader) ReadRequestHead() (head RequestHead, err error) {
 	r.beginHead()
-	method, target, version, err := r.readRequestLine()
-	if err != nil {
-		return "", "", nil, nil, false, err
+	version := ""
+	if head.Method, head.Target, version, err = r.readRequestLine(); err != nil {
+		return RequestHead{}, err
 	}
-	if fields, err = r.readFields(); err != nil {
-		return method, target, nil, nil, false, err
+	head.IsHTTP10 = version == version10
+	if head.Fields, err = r.readFields(); err != nil {
+		return head, err
 	}
 	r.headLength = maxHeadBytes - r.headBytesLeft
-	if _, hasHost := fields[fieldHost]; !hasHost && version == version11 {
-		return method, target, fields, nil, false, invalidMessage(statusBadRequest, "missing Host header, expected one in an HTTP/1.1 request")
+	if _, hasHost := head.Fields[fieldHost]; !hasHost && !head.IsHTTP10 {
+		return head, invalidMessage(statusBadRequest, "missing Host header, expected one in an HTTP/1.1 request")
 	}
-	keepAlive = keepsAlive(version, fields)
-	if hasBody(fields) {
-		body, err = r.readBody(fields)
-	} else if method == "POST" {
-		err = invalidMessage(statusLengthRequired, "POST request without a body length, expected Content-Length or chunked Transfer-Encoding")
+	head.KeepAlive = keepsAlive(version, head.Fields)
+	return head, nil
+}
+
+// ReadRequestBody reads the body that a head announces, and returns nil where it announces none. The errors are the same as
+// those of ReadRequest.
+func (r *Reader) ReadRequestBody(head RequestHead) ([]byte, error) {
+	if !head.HasBody() {
+		return nil, nil
 	}
-	return method, target, fields, body, keepAlive, err
+	return r.readBody(head.Fields)
 }
 
 // HeadLength returns the length of the last request's head in bytes.
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -24,6 +24,7 @@
 	pooled       *[]byte         // where buffer was taken from; nil for the buffer of NewReader
 	reservedBody int             // bytes reserved for the body of the last message
 
+	bodyLimit     int               // bytes that a body may have
 	headBytesLeft int               // how many more bytes the current head, chunk size line or trailers may have
 	headLength    int               // of the last request
 	head          string            // the unread rest of the current head if it was received completely, otherwise empty
@@ -33,9 +34,15 @@
 // NewReader returns a reader that uses buffer. Nothing else may use buffer at the same time, and it must be larger than
 // the longest head.
 func NewReader(source io.Reader, buffer []byte) *Reader {
-	return &Reader{source: source, buffer: buffer}
+	return &Reader{source: source, buffer: buffer, bodyLimit: maxBodyBytes}
 }
 
+// SetBodyLimit sets how many bytes the bodies of further messages may have, which is 64 KiB without a call.
+func (r *Reader) SetBodyLimit(bytes int) { r.bodyLimit = bytes }
+
+// Buffered returns how many bytes have been received and not yet consumed.
+func (r *Reader) Buffered() int { return r.end - r.start }
+
 // AwaitMessage waits until the first byte of the next message has been received. It skips empty lines before the
 // message.
 func (r *Reader) AwaitMessage() error {
--- /dev/null
+++ b/internal/httpserver/connection.go
@@ -0,0 +1,242 @@
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"chalkring/internal/http1"
+)
+
+const (
+	readBufferBytes = 16 << 10               // more than the longest head that http1 accepts
+	finalReadGrace  = 50 * time.Millisecond  // during a stop, for a request that is already on its way
+	lingerTimeout   = 500 * time.Millisecond // for a client to read the last response and to close the connection
+	maxLingerBytes  = 256 << 10              // read and dropped meanwhile
+)
+
+// connection is one client's connection. Its methods are called on one goroutine, except for interruptIdle.
+type connection struct {
+	server     *Server
+	stopping   context.Context
+	conn       net.Conn
+	reader     *http1.Reader
+	acceptedAt time.Time
+	served     int // requests
+
+	mu     sync.Mutex
+	isIdle bool // the connection has had a request and waits for the next one
+}
+
+func newConnection(server *Server, stopping context.Context, accepted net.Conn) *connection {
+	c := &connection{server: server, stopping: stopping, conn: accepted, acceptedAt: time.Now()}
+	if server.TLSConfig != nil {
+		c.conn = tls.Server(accepted, server.TLSConfig)
+	}
+	c.reader = http1.NewReader(c.conn, make([]byte, readBufferBytes))
+	return c
+}
+
+// handshake does the TLS handshake, if there is one, in the time that the first head may take.
+func (c *connection) handshake(ctx context.Context) error {
+	secured, isTLS := c.conn.(*tls.Conn)
+	if !isTLS {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.acceptedAt.Add(c.server.HeadTimeout))
+	defer cancel()
+	return secured.HandshakeContext(ctx)
+}
+
+// awaitRequest waits for the first bytes of a request. It returns false if none came.
+func (c *connection) awaitRequest() bool {
+	if c.served == 0 {
+		c.conn.SetReadDeadline(c.acceptedAt.Add(c.server.HeadTimeout))
+		return c.reader.AwaitMessage() == nil
+	}
+	c.beginIdle()
+	defer c.endIdle()
+	return c.reader.AwaitMessage() == nil
+}
+
+func (c *connection) beginIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle = true
+	timeout := c.server.IdleTimeout
+	if c.stopping.Err() != nil {
+		timeout = finalReadGrace
+	}
+	c.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
+func (c *connection) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle = false
+}
+
+// interruptIdle ends the wait for a further request soon, since the server stops.
+func (c *connection) interruptIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isIdle {
+		c.conn.SetReadDeadline(time.Now().Add(finalReadGrace))
+	}
+}
+
+// serveRequest reads a request whose first bytes have arrived, and answers it. It returns false if the connection ends.
+func (c *connection) serveRequest(ctx context.Context) (keep bool) {
+	request, head, err := c.readRequest()
+	if err != nil {
+		c.refuse(request, err)
+		return false
+	}
+	c.served++
+	response := newResponse()
+	isOpen := c.handle(ctx, response, request)
+	response.keepAlive = head.KeepAlive && isOpen && !response.failed && c.stopping.Err() == nil
+	response.toHTTP10 = head.IsHTTP10
+	if !c.write(response, request.Method) {
+		return false
+	}
+	if !response.keepAlive {
+		c.linger()
+	}
+	return response.keepAlive
+}
+
+// readRequest reads a request. With an error, the returned request has at least a method.
+func (c *connection) readRequest() (*http.Request, http1.RequestHead, error) {
+	begunAt := time.Now()
+	if c.served == 0 {
+		begunAt = c.acceptedAt
+	}
+	unread := &http.Request{Method: http.MethodGet}
+	c.conn.SetReadDeadline(begunAt.Add(c.server.HeadTimeout))
+	head, err := c.reader.ReadRequestHead()
+	if err != nil {
+		return unread, head, err
+	}
+	request, err := newRequest(head, c.conn.RemoteAddr().String())
+	if err != nil {
+		return unread, head, err
+	}
+	c.conn.SetReadDeadline(begunAt.Add(c.server.RequestTimeout))
+	c.reader.SetBodyLimit(c.server.BodyLimit(request.URL.Path))
+	if err := c.sendContinue(head); err != nil {
+		return request, head, err
+	}
+	body, err := c.reader.ReadRequestBody(head)
+	if err != nil {
+		return request, head, err
+	}
+	setBody(request, body)
+	return request, head, nil
+}
+
+// sendContinue tells a client that waits for it to send the body.
+func (c *connection) sendContinue(head http1.RequestHead) error {
+	expectation := head.Fields["expect"]
+	switch {
+	case expectation == "":
+		return nil
+	case !strings.EqualFold(expectation, "100-continue"):
+		return http1.InvalidMessageError{
+			Status:  http.StatusExpectationFailed,
+			Message: fmt.Sprintf("expectation %.40q is not supported, expected 100-continue", expectation),
+		}
+	case !head.HasBody() || head.IsHTTP10 || c.reader.Buffered() > 0:
+		return nil
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(c.server.WriteTimeout))
+	_, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// refuse answers a request that cannot be read, and waits until its client has had time to read the response.
+func (c *connection) refuse(request *http.Request, err error) {
+	var invalid http1.InvalidMessageError
+	switch {
+	case errors.As(err, &invalid):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		invalid = http1.InvalidMessageError{Status: http.StatusRequestTimeout, Message: "the request did not arrive in time"}
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		invalid = http1.InvalidMessageError{Status: http.StatusBadRequest, Message: "the request is cut off"}
+	default:
+		return
+	}
+	c.server.LogEvent("bad_request", "bad_request", "client", c.conn.RemoteAddr().String(), "status", invalid.Status, "error", invalid.Message)
+	response := newResponse()
+	c.server.WriteError(response, invalid.Status, invalid.Message)
+	if c.write(response, request.Method) {
+		c.linger()
+	}
+}
+
+// handle runs the handler. Meanwhile it reads ahead as far as the buffer has room, and cancels the request's context once
+// the client closes the connection. It reports whether the connection is still open.
+func (c *connection) handle(ctx context.Context, response *response, request *http.Request) (isOpen bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.conn.SetReadDeadline(time.Time{})
+	readEnd := make(chan error, 1)
+	go func() { readEnd <- c.readAhead(cancel) }()
+	c.runHandler(response, request.WithContext(ctx))
+	c.conn.SetReadDeadline(time.Unix(1, 0)) // ends readAhead
+	err := <-readEnd
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, http1.ErrBufferFull)
+}
+
+// readAhead reads until an error, and calls cancel if it is the end of the connection.
+func (c *connection) readAhead(cancel context.CancelFunc) error {
+	for {
+		err := c.reader.ReadAhead()
+		switch {
+		case err == nil:
+			continue
+		case !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, http1.ErrBufferFull):
+			cancel()
+		}
+		return err
+	}
+}
+
+// runHandler runs the handler. If it panics, its client gets an error, and no other connection is affected.
+func (c *connection) runHandler(response *response, request *http.Request) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			c.server.LogEvent("connection fault", "connection_fault", "error", fmt.Sprint(fault), "stack", string(debug.Stack()))
+			response.reset()
+			c.server.WriteError(response, http.StatusInternalServerError, "internal error")
+			response.failed = true
+		}
+	}()
+	c.server.Handler.ServeHTTP(response, request)
+}
+
+// write writes a response and reports whether that succeeded.
+func (c *connection) write(response *response, method string) bool {
+	c.conn.SetWriteDeadline(time.Now().Add(c.server.WriteTimeout))
+	_, err := c.conn.Write(response.encode(method, time.Now()))
+	return err == nil
+}
+
+// linger tells the client that no more comes, and drops what it still sends for a while: closing with unread bytes would send
+// a reset, which can cut off the response before the client has read it.
+func (c *connection) linger() {
+	if writer, ok := c.conn.(interface{ CloseWrite() error }); ok && writer.CloseWrite() != nil {
+		return
+	}
+	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, maxLingerBytes)) // the connection ends in any case
+}
--- a/opensearch/frontend/server.go
+++ b/opensearch/frontend/server.go
@@ -23,10 +23,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-	"golang.org/x/sync/errgroup"
-
 	"chalkring/coordinator"
+	"chalkring/internal/httpserver"
 	"chalkring/opensearch/query"
 )
 
@@ -34,7 +32,6 @@
 	headTimeout               = 2500 * time.Millisecond // for reading a request's head, as on the native frontend
 	bodyTimeout               = 5 * time.Second         // for reading a whole request, at most a msearch of 4 MiB
 	idleTimeout               = 3 * time.Second         // after which an idle connection is closed
-	maxHeadBytes              = 8 << 10                 // of a request's head
 	maxBodyBytes              = 1 << 20                 // of a search's body, before and after decompression
 	maxMultiSearchBytes       = 4 << 20                 // of a msearch's body
 	maxMultiSearches          = 100                     // in one msearch
@@ -99,27 +96,33 @@
 			}
 		}
 	}
-	s := &http.Server{
-		Handler: f, ReadHeaderTimeout: headTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeadBytes, TLSConfig: f.TLSConfig, ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return ctx },
+	server := httpserver.Server{
+		Handler: f, TLSConfig: f.TLSConfig, MaxConnections: api.MaxConnections, HeadTimeout: headTimeout, RequestTimeout: bodyTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, BodyLimit: bodyLimit, WriteError: writeError, LogEvent: api.LogEvent,
 	}
-	ln := netutil.LimitListener(f.Listener, api.MaxConnections)
-	if f.TLSConfig != nil {
-		ln = tls.NewListener(ln, f.TLSConfig)
+	return server.Serve(ctx, stopping, f.Listener)
+}
+
+// bodyLimit returns how many bytes the body of a request for a path may have.
+func bodyLimit(path string) int {
+	if strings.HasSuffix(strings.TrimRight(path, "/"), "/_msearch") {
+		return maxMultiSearchBytes
 	}
-	var g errgroup.Group
-	g.Go(func() error {
-		<-stopping.Done()
-		if s.Shutdown(ctx) != nil { // ctx ended before the open requests did
-			s.Close()
-		}
-		return nil
-	})
-	err := s.Serve(ln)
-	if !errors.Is(err, http.ErrServerClosed) {
-		return err
+	return maxBodyBytes
+}
+
+// writeError writes the response to a request that cannot be read, or whose handler has panicked.
+func writeError(w http.ResponseWriter, status int, message string) {
+	kind := "parse_exception"
+	switch status {
+	case http.StatusInternalServerError:
+		kind = "exception"
+	case http.StatusRequestTimeout:
+		kind = "timeout_exception"
+	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		kind = "illegal_argument_exception"
 	}
-	return g.Wait()
+	errorReply(status, kind, "%s", message).write(w, false)
 }
 
 // reply is an HTTP response that is yet to be written.
@@ -148,8 +151,11 @@
 	if opaque := r.Header.Get("X-Opaque-Id"); opaque != "" {
 		w.Header().Set("X-Opaque-Id", opaque[:min(len(opaque), maxOpaqueIDBytes)])
 	}
-	out := f.route(r)
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	f.route(r).write(w, strings.Contains(r.Header.Get("Accept-Encoding"), "gzip"))
+}
+
+// write writes a reply, compressed if the client allows it and it is long.
+func (out reply) write(w http.ResponseWriter, allowGzip bool) {
 	h := w.Header()
 	if h.Set("Content-Type", "application/json; charset=UTF-8"); out.plainText {
 		h.Set("Content-Type", "text/plain; charset=UTF-8")
@@ -157,7 +163,7 @@
 	if out.retryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(out.retryAfter.Seconds())))) // HTTP clients expect whole seconds
 	}
-	if len(out.body) >= minGzipBytes && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+	if allowGzip && len(out.body) >= minGzipBytes {
 		h.Set("Content-Encoding", "gzip")
 		w.WriteHeader(out.status)
 		z := gzip.NewWriter(w)
