Give responses of OpenSearch-style hosts to the attempt that they name alone

Callers saw: 200 with the members of another search.

Cause: the responses have no id of their own, and each was given to the attempt that was on the connection when it was read; by then the event loop had sent the next one. A look at the buffer or at the socket, or a wait, would leave a window: a copy may come after the next request was written.

Change: X-Opaque-Id, which hosts of this API return, has to name the attempt; another one ends the connection. A connection is used again only after a response that named its attempt and had nothing behind it, so a host that returns no such field gets one for each attempt. A further attempt of the same shard request takes another connection. Responses are read by internal/http1, which bounds heads and refuses two lengths.

--- a/coordinator/attempts.go
+++ b/coordinator/attempts.go
@@ -18,6 +18,15 @@
 	inlineBatch  batch // the batch that the attempt opens, if any: saves an allocation
 }
 
+// isBeingSent says whether bytes of the attempt's message may have been sent.
+func (a *attempt) isBeingSent() bool {
+	if a.batch == nil || a.batch.message == nil {
+		return false
+	}
+	stage := a.batch.message.stage.Load()
+	return stage == stageWriting || stage == stageWritten
+}
+
 // fire handles the attempt's timeout. It implements timerHandler.
 func (a *attempt) fire(loop *eventLoop) { loop.giveUpAttempt(a, "TimedOut") }
 
--- a/coordinator/frame_protocol.go
+++ b/coordinator/frame_protocol.go
@@ -31,6 +31,9 @@
 	return loop.rules.streamsPerConnection
 }
 
+// allowsRepeatedNames implements wireProtocol.
+func (frameProtocol) allowsRepeatedNames() bool { return true }
+
 // allowsWaiting implements wireProtocol.
 func (frameProtocol) allowsWaiting() bool { return true }
 
--- a/coordinator/opensearch_protocol.go
+++ b/coordinator/opensearch_protocol.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -14,7 +12,7 @@
 	"time"
 	"unicode/utf8"
 
-	"chalkring/internal/frame"
+	"chalkring/internal/http1"
 	"chalkring/opensearch/query"
 )
 
@@ -30,6 +28,9 @@
 // attemptsPerBatch implements wireProtocol.
 func (openSearchProtocol) attemptsPerBatch(*eventLoop) int { return 1 }
 
+// allowsRepeatedNames implements wireProtocol.
+func (openSearchProtocol) allowsRepeatedNames() bool { return false }
+
 // batchesPerConnection implements wireProtocol.
 func (openSearchProtocol) batchesPerConnection(*eventLoop) int { return 1 }
 
@@ -66,53 +67,84 @@
 	return "Ok", nil
 }
 
-// readAnswers implements wireProtocol. Each response belongs to the one attempt on its connection. A response without an
-// attempt, or one that cannot be parsed, ends the connection.
+// hostResponse is a host's response to a shard request.
+type hostResponse struct {
+	status      int
+	attemptName string // that the host says it answers; empty if it does not say
+	retryAfter  string // the header
+	body        []byte
+	keepAlive   bool // the host keeps the connection open
+	isFollowed  bool // bytes follow that belong to no request
+}
+
+// readAnswers implements wireProtocol. The API's responses have no id but the X-Opaque-Id that hosts return, so a connection
+// is used again only while each response has named its attempt and nothing has followed it: a second copy of a response would
+// otherwise be taken for the response to the next attempt. A response without an attempt, one that names another attempt, or
+// one that cannot be parsed ends the connection.
 func (k openSearchProtocol) readAnswers(loop *eventLoop, connection *replicaConnection, conn net.Conn) error {
-	source := bufferedReaders.Get().(*bufio.Reader)
-	source.Reset(conn)
-	defer bufferedReaders.Put(source)
+	buffer := borrowBuffer()
+	defer returnBuffer(buffer)
+	reader := http1.NewReader(conn, (*buffer)[:bufferSize])
+	reader.SetBodyLimit(maxHostBodyBytes)
 	for {
 		conn.SetReadDeadline(time.Time{})
-		if _, err := source.Peek(1); err != nil {
+		if err := reader.ReadAhead(); err != nil {
 			return connectionEndOf(err)
 		}
 		conn.SetReadDeadline(time.Now().Add(hostBodyTimeout))
-		response, err := http.ReadResponse(source, nil)
+		response, err := readHostResponse(reader)
 		if err != nil {
 			return k.readError(loop, connection, err)
 		}
-		var body bytes.Buffer
-		n, err := io.Copy(&body, io.LimitReader(response.Body, maxHostBodyBytes+1))
-		response.Body.Close()
-		if err != nil || n > maxHostBodyBytes {
-			return k.readError(loop, connection, fmt.Errorf("response body cut off or over the size limit, got %d bytes: %w", n, errors.Join(err, frame.ErrMalformed)))
+		answered, err := k.attemptFor(loop, connection, response)
+		if err != nil {
+			return k.readError(loop, connection, err)
 		}
-		if err := k.handleResponse(loop, connection, response, body.Bytes()); err != nil {
+		if err := k.handleResponse(loop, connection, answered, response); err != nil {
 			return err
 		}
 	}
 }
 
-// handleResponse submits a response to the event loop. An error ends the connection.
-func (k openSearchProtocol) handleResponse(loop *eventLoop, connection *replicaConnection, response *http.Response,
-	body []byte,
-) error {
-	onlyAttempt := make(chan *attempt, 1)
+// readHostResponse reads one response.
+func readHostResponse(reader *http1.Reader) (hostResponse, error) {
+	status, fields, body, keepAlive, err := reader.ReadResponse()
+	if err != nil {
+		return hostResponse{}, err
+	}
+	return hostResponse{
+		status: status, attemptName: fields["x-opaque-id"], retryAfter: fields["retry-after"], body: reader.DetachBody(body),
+		keepAlive: keepAlive, isFollowed: reader.Buffered() > 0,
+	}, nil
+}
+
+// attemptFor returns the attempt that a response belongs to: the only one on the connection, if its message was sent and the
+// response does not name another.
+func (openSearchProtocol) attemptFor(loop *eventLoop, connection *replicaConnection, response hostResponse) (*attempt, error) {
+	sent := make(chan *attempt, 1)
 	if !loop.submit(func() {
-		if len(connection.attempts) == 1 {
-			onlyAttempt <- connection.attempts[0]
+		if len(connection.attempts) == 1 && connection.attempts[0].isBeingSent() {
+			sent <- connection.attempts[0]
 		}
-		close(onlyAttempt)
+		close(sent)
 	}) {
-		return errClosing
+		return nil, errClosing
 	}
-	answered, ok := <-onlyAttempt
-	if !ok {
-		return k.readError(loop, connection, errors.New("response without an attempt in flight on the connection"))
+	switch current := <-sent; {
+	case current == nil:
+		return nil, errors.New("response without an attempt in flight on the connection")
+	case response.attemptName != "" && response.attemptName != current.name: // the name never changes
+		return nil, fmt.Errorf("response to attempt %.60q, expected to %q", response.attemptName, current.name)
+	default:
+		return current, nil
 	}
+}
+
+// handleResponse submits the response to an attempt to the event loop. An error ends the connection.
+func (k openSearchProtocol) handleResponse(loop *eventLoop, connection *replicaConnection, answered *attempt, response hostResponse) error {
 	name, shard := []byte(answered.name), answered.shardRequest.shard // may be read here: neither field ever changes
-	outcome, problem := k.classifyResponse(response.StatusCode, body, shard)
+	body := response.body
+	outcome, problem := k.classifyResponse(response.status, body, shard)
 	if outcome == "Ok" && !utf8.Valid(body) {
 		outcome, problem = "Failed", errors.New("response body is not valid UTF-8")
 	}
@@ -125,20 +157,23 @@
 	if problem != nil {
 		loop.log.warnLimited("bad_value", "bad_value", "replica", connection.replica.id, "error", problem)
 	}
-	isLast := response.Close
+	if response.isFollowed {
+		loop.log.warnLimited("bad_frame", "bad_frame", "replica", connection.replica.id, "error", "bytes that no attempt waits for follow a response")
+	}
+	isLast := !response.keepAlive || response.isFollowed || response.attemptName == ""
 	var report map[string]float64
 	if outcome == "QueueFull" {
-		report = retryAfterReport(response.Header.Get("Retry-After"))
+		report = retryAfterReport(response.retryAfter)
 	}
 	if !loop.submit(func() {
-		connection.closedToNew = connection.closedToNew || isLast
+		connection.closedToNew = connection.closedToNew || isLast // a good answer counts, whatever follows it
 		loop.handleAnswer(connection, name, outcome, zeroScore, report, body, decoded)
-		if isLast {
-			loop.closeIfUnused(connection)
-		}
 	}) {
 		return errClosing
 	}
+	if isLast {
+		return errRetired
+	}
 	return nil
 }
 
@@ -158,7 +193,7 @@
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return errReadTimeout
 	}
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, errClosing) {
 		return connectionEndOf(err)
 	}
 	loop.log.warnLimited("bad_frame", "bad_frame", "replica", conn.replica.id, "error", err)
--- a/coordinator/replica_connection.go
+++ b/coordinator/replica_connection.go
@@ -168,11 +168,13 @@
 }
 
 // conflictsWith says whether the name of an attempt of a batch is in use on the connection, or was recently used for
-// another search: a late answer to the earlier attempt would be taken for an answer to the new one.
+// another search: a late answer to the earlier attempt would be taken for an answer to the new one. With some protocols
+// the names of earlier attempts of the same search are in conflict too.
 func (l *replicaConnection) conflictsWith(batch *batch) bool {
 	return slices.ContainsFunc(batch.attempts, func(added *attempt) bool {
 		searchID, isRecent := l.recentIDs[added.name]
-		return isRecent && searchID != added.shardRequest.search.id || findAttempt(l.attempts, added.name) != nil
+		isReused := isRecent && (searchID != added.shardRequest.search.id || !l.protocol.allowsRepeatedNames())
+		return isReused || findAttempt(l.attempts, added.name) != nil
 	})
 }
 
--- a/coordinator/wire_protocol.go
+++ b/coordinator/wire_protocol.go
@@ -16,6 +16,9 @@
 	batchesPerConnection(loop *eventLoop) int
 	// allowsWaiting says whether more batches than that may wait on a connection when no other can be opened.
 	allowsWaiting() bool
+	// allowsRepeatedNames says whether further attempts of a shard request, which all have its name, may be sent on a
+	// connection that had one.
+	allowsRepeatedNames() bool
 	// appendBatch appends the message of a batch.
 	appendBatch(loop *eventLoop, dst []byte, batch *batch) []byte
 	// cancelAttempt cancels an attempt whose message may have been written.
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -5,6 +5,7 @@
 package http1
 
 import (
+	"bytes"
 	"errors"
 	"io"
 )
@@ -43,6 +44,14 @@
 // Buffered returns how many bytes have been received and not yet consumed.
 func (r *Reader) Buffered() int { return r.end - r.start }
 
+// DetachBody returns the body of the last message, copied if it is a part of the buffer, so that it stays valid.
+func (r *Reader) DetachBody(body []byte) []byte {
+	if n := len(body); n > 0 && n <= r.start && &body[0] == &r.buffer[r.start-n] {
+		return bytes.Clone(body)
+	}
+	return body
+}
+
 // AwaitMessage waits until the first byte of the next message has been received. It skips empty lines before the
 // message.
 func (r *Reader) AwaitMessage() error {
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return request, head, err
 	}
-	setBody(request, body)
+	setBody(request, c.reader.DetachBody(body)) // the buffer is used while the handler runs
 	return request, head, nil
 }
 
--- a/internal/httpserver/message.go
+++ b/internal/httpserver/message.go
@@ -35,15 +35,11 @@
 	return request, nil
 }
 
-// setBody sets a request's body. A body that may be a part of the reader's buffer is copied, since the buffer is used while
-// the handler runs.
+// setBody sets a request's body.
 func setBody(request *http.Request, body []byte) {
 	if len(body) == 0 {
 		return
 	}
-	if len(body) <= readBufferBytes {
-		body = bytes.Clone(body)
-	}
 	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 }
 
--- a/opensearch/frontend/opensearch_test.go
+++ b/opensearch/frontend/opensearch_test.go
@@ -678,6 +678,31 @@
 			conn.Write([]byte("noise in place of an answer\r\n\r\n"))
 			conn.Close()
 		},
+		"endless head": func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			defer conn.Close()
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nLong: ")
+			for line := strings.Repeat("a", 64<<10); ; {
+				if _, err := io.WriteString(conn, line); err != nil {
+					return // the coordinator has closed the connection
+				}
+			}
+		},
+		"many header fields": func(w http.ResponseWriter, _ *http.Request, good []byte) {
+			for i := range 200 {
+				w.Header().Set(fmt.Sprint("X-Field-", i), "1")
+			}
+			w.Write(good)
+		},
+		"two lengths": func(w http.ResponseWriter, _ *http.Request, good []byte) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(good), len(good), good)
+			conn.Close()
+		},
+		"another request's response": func(w http.ResponseWriter, _ *http.Request, good []byte) {
+			w.Header().Set("X-Opaque-Id", "os-n0-1-1.0")
+			w.Write(good)
+		},
 		"second response": func(w http.ResponseWriter, _ *http.Request, good []byte) {
 			conn, _, _ := w.(http.Hijacker).Hijack()
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%sHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", len(good), good)
--- /dev/null
+++ b/opensearch/frontend/second_answer_test.go
@@ -0,0 +1,74 @@
+package frontend
+
+import (
+	"fmt"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// drawnExtras returns a write fault that adds, by seed, to one write in four: a second copy in the same write or some time
+// later, another status, noise, or the begin of a response.
+func drawnExtras(seed int64, count *atomic.Int64) func(written []byte) ([]byte, time.Duration) {
+	var mu sync.Mutex
+	chance := rand.New(rand.NewSource(seed))
+	return func(written []byte) ([]byte, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if chance.Intn(4) > 0 {
+			return nil, 0
+		}
+		count.Add(1)
+		delay := time.Duration(chance.Intn(3)) * time.Duration(chance.Intn(2000)) * time.Microsecond
+		switch chance.Intn(8) {
+		case 0:
+			return []byte("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 2\r\n\r\n{}"), delay
+		case 1:
+			return []byte("\r\nnoise"), delay
+		case 2:
+			return written[:1+chance.Intn(len(written))], delay
+		}
+		return written, delay
+	}
+}
+
+// Guards against answers with the members of another search: hosts of the OpenSearch-style API write second copies or noise
+// behind their responses, at once or while the connection's next request is on its way. Every search gets the one member that
+// it asks for, whether the hosts name the request in their responses or not.
+func TestSecondAnswersOfHosts(t *testing.T) {
+	for seed := range int64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r := startWithHosts(t, true)
+			var extras atomic.Int64
+			for i, h := range r.searchHosts {
+				h.SetAnonymous(seed%2 == 0)
+				h.SetWriteFault(drawnExtras(seed<<8+int64(i), &extras))
+			}
+			var clients sync.WaitGroup
+			var served, refused atomic.Int64
+			for c := range 12 {
+				clients.Go(func() {
+					for n := range 40 {
+						want := r.whole.Documents[(c*40+n)%len(r.whole.Documents)].ID
+						status, m, _ := r.do("POST", "/members/_search", fmt.Sprintf(`{"query":{"ids":{"values":[%q]}}}`, want))
+						if status != 200 { // a part may fail at all of its attempts
+							refused.Add(1)
+							continue
+						}
+						served.Add(1)
+						assert.Equal(t, []string{want}, ids(m), "client %d, search %d", c, n)
+					}
+				})
+			}
+			clients.Wait()
+			t.Logf("%d searches served, %d not; %d extras", served.Load(), refused.Load(), extras.Load())
+			require.Greater(t, served.Load(), 10*refused.Load())
+		})
+	}
+}
