Stop the idle timer of a replica's connection when the connection ends

Cause: the timer that closes an idle connection referred to it until 0.7 of ConnIdle after its end. Some 10 KB each, which tells since hosts that do not name their attempts get a connection for each.

Change: the connection owns its timer, and its end stops it.

--- a/coordinator/replica_connection.go
+++ b/coordinator/replica_connection.go
@@ -31,6 +31,7 @@
 	attempts    []*attempt
 	heardAt     int64 // when the last answer was received; 0 before the first
 	usedAt      int64
+	idleTimer   timer
 	recentIDs   map[string]uint64 // ids of the searches of past attempts, by the attempts' names: answers may still arrive
 	recentOrder []string          // the same names; once there are maxRecentIDs, the oldest is at oldestIndex
 	oldestIndex int
@@ -203,6 +204,7 @@
 func (loop *eventLoop) handleConnectionEnd(conn *replicaConnection, end connectionEndError, addr string) {
 	conn.closedToNew = true
 	conn.end(end)
+	loop.stopTimer(&conn.idleTimer) // it would keep the connection's memory until its time
 	loop.descriptors.replicaConnections--
 	conn.replica.connections = slices.DeleteFunc(conn.replica.connections, func(x *replicaConnection) bool { return x == conn })
 	if len(conn.attempts) > 0 || end == errNotConnected || end == errReadTimeout || end == errMalformed || end == errFault {
@@ -243,7 +245,7 @@
 	}
 	maxIdle := int64(replicaIdleShare * float64(loop.plan.Duration("Permissions.ConnIdle")/tick))
 	if left := conn.usedAt + maxIdle - loop.now; left > 0 || conn.openBatches > 0 || len(conn.abandoned) > 0 {
-		loop.runAfter(max(left, maxIdle/4), func() { loop.closeWhenIdle(conn) })
+		loop.startTimer(&conn.idleTimer, max(left, maxIdle/4), deferredTask(func() { loop.closeWhenIdle(conn) }))
 		return
 	}
 	conn.closeNow(errIdle)
--- a/coordinator/replica_connection_test.go
+++ b/coordinator/replica_connection_test.go
@@ -395,3 +395,23 @@
 	})
 	r.shutDown()
 }
+
+// Guards against memory of connections that have ended: the timer for their idle time would keep each until then.
+func TestEndedConnectionsKeepNoTimer(t *testing.T) {
+	const opened = 50
+	r := start(t, 256, nil)
+	r.replicas["a0"].Close()
+	require.True(t, r.loop.submit(func() {
+		for range opened {
+			r.loop.openConnection(r.loop.replicas.byID["a0"])
+		}
+	}))
+	r.eventually("end of the connections and their timers", func() bool {
+		hasEnded := make(chan bool, 1)
+		r.loop.submit(func() {
+			hasEnded <- len(r.loop.replicas.byID["a0"].connections) == 0 && r.loop.timers.queue.Len() < opened/2
+		})
+		return <-hasEnded
+	})
+	r.shutDown()
+}
