Use a connection for one delivery to a receiver

Receivers saw: a delivery that they had rejected was not sent again.

Cause: deliveries shared kept connections, replies have no id, and net/http's client looks for unexpected bytes on idle connections alone.

Change: no kept connections; heads of replies are bounded by 8 KiB in place of 10 MB.

--- a/control/fanout/delivery.go
+++ b/control/fanout/delivery.go
@@ -18,8 +18,8 @@
 	deliveryTimeout  = 2 * time.Second // for all attempts of a delivery; a handover waits for deliveries to end
 	deliveryAttempts = 3               // of one delivery, all with the same number
 	retryDelay       = 200 * time.Millisecond
-	idleTimeout      = time.Minute // of a connection to a receiver
-	maxReplyBytes    = 1 << 16     // read of a receiver's reply, so that its connection can be reused
+	maxReplyHead     = 8 << 10 // bytes of the head of a receiver's reply
+	maxReplyBytes    = 1 << 16 // read of a reply's body, which a receiver may write before it looks for the connection's end
 )
 
 // BlockValue is the value that a block returned.
@@ -79,7 +79,9 @@
 	return err
 }
 
-var httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConcurrentSearches, IdleConnTimeout: idleTimeout, Proxy: nil}}
+// httpClient uses a connection for one delivery: replies have no id, so a second copy of one would be taken for the reply to
+// the next delivery.
+var httpClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxReplyHead, Proxy: nil}}
 
 // DeliverByHTTP returns a function that delivers by HTTP: a POST with the delivery as JSON, accepted by a status from
 // 200 to 299.
