Make an answer of discovery with bytes behind it the last of its connection

Cause: the copy was taken for the answer to the next call, which then failed for coming too early.

Change: the answer counts, and the next call has a connection of its own.

Measured (arm64): TestSecondAnswersOfDiscovery failed before (version 10 never arrived) and passes.

--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -274,6 +274,7 @@
 		return false, err
 	}
 	status, _, body, keep, err := reader.ReadResponse()
+	keep = keep && reader.Buffered() == 0 // what follows an answer would be taken for the next one
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("got status %d, expected 200", status)
 	}
--- a/coordinator/discovery_test.go
+++ b/coordinator/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand"
 	"net"
 	"net/url"
 	"slices"
@@ -317,3 +318,21 @@
 		require.LessOrEqual(t, took, 1500*time.Millisecond)
 	})
 }
+
+// Guards against a second copy of an answer, or noise behind one, that is taken for the answer to the next call: the answer
+// counts, and the next call has a connection of its own.
+func TestSecondAnswersOfDiscovery(t *testing.T) {
+	for seed := range int64(4) {
+		chance := rand.New(rand.NewSource(seed))
+		r := start(t, 256, func(s map[string]any) { s["Discovery"] = "automatic" })
+		for version := 9; version < 12; version++ {
+			require.NotEmpty(t, <-r.list.Targets)
+			body := fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`, version, r.entry("a0", "draining"))
+			answer := string(http1.AppendResponse(nil, 200, "", []byte(body), true))
+			r.list.Responses <- answer + []string{answer, answer[:1+chance.Intn(len(answer))], "noise"}[chance.Intn(3)]
+			r.logged(fmt.Sprintf("how=Partial version=%d", version))
+		}
+		require.NotContains(t, r.log.String(), "list_failed", "seed %d", seed)
+		r.shutDown()
+	}
+}
