End one connection of the peers' listener, not the process, over a panic

Change: package internal/guard turns a panic over one input into an error with its place; the peers' listener, the event loop's connections and internal/httpserver use it, in place of a recovery of their own.

Measured (arm64): TestPanicEndsOneConnection and the package's tests pass with the race detector; without the guard a panic in a goroutine of the group ends the process.

--- a/cluster/peerprotocol/server.go
+++ b/cluster/peerprotocol/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"chalkring/cluster/peerreport"
+	"chalkring/internal/guard"
 )
 
 const (
@@ -95,7 +96,9 @@
 		}
 		group.Go(func() error {
 			defer func() { <-slots }()
-			s.serveConn(ctx, conn)
+			if err := guard.Run(func() error { s.serveConn(ctx, conn); return nil }); err != nil {
+				s.OnRejected(conn.RemoteAddr().String(), err.Error())
+			}
 			return nil
 		})
 	}
--- a/cluster/peerprotocol/server_test.go
+++ b/cluster/peerprotocol/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -158,3 +159,19 @@
 		conn.Close()
 	}
 }
+
+// Guards against a panic over one client's request that ends more than its connection.
+func TestPanicEndsOneConnection(t *testing.T) {
+	var hasPanicked atomic.Bool
+	addr, lastRejection := startServer(t, 3, func(s *Server) {
+		s.SpendBudget = func(context.Context, int, time.Duration) error {
+			if !hasPanicked.Swap(true) {
+				panic("fault")
+			}
+			return nil
+		}
+	})
+	require.Equal(t, peerreport.OutcomeFailed, fetchReport(addr, nil).outcome)
+	require.Eventually(t, func() bool { return strings.HasSuffix(lastRejection(), ": fault") }, 10*time.Second, time.Millisecond)
+	require.Equal(t, peerreport.OutcomeReceived, fetchReport(addr, nil).outcome)
+}
--- a/coordinator/async_logger.go
+++ b/coordinator/async_logger.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chalkring/internal/guard"
 )
 
 const (
@@ -129,13 +131,14 @@
 
 // recoverPanic turns a panic in handle into an error, so that it ends one connection and not the process with all other
 // searches. The interrupted work is not resumed. The logger may be nil.
-func (n *asyncLogger) recoverPanic(handle func() error) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			if err = errFault; n != nil {
-				n.warnLimited("connection fault", "connection_fault", "error", fmt.Sprint(r), "stack", string(debug.Stack()))
-			}
-		}
-	}()
-	return handle()
+func (n *asyncLogger) recoverPanic(handle func() error) error {
+	err := guard.Run(handle)
+	var panicked *guard.PanicError
+	if !errors.As(err, &panicked) {
+		return err
+	}
+	if n != nil {
+		n.warnLimited("connection fault", "connection_fault", "error", fmt.Sprint(panicked.Cause), "stack", panicked.Stack)
+	}
+	return errFault
 }
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -9,11 +9,11 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
 
+	"chalkring/internal/guard"
 	"chalkring/internal/http1"
 )
 
@@ -213,15 +213,14 @@
 
 // runHandler runs the handler. If it panics, its client gets an error, and no other connection is affected.
 func (c *connection) runHandler(response *response, request *http.Request) {
-	defer func() {
-		if fault := recover(); fault != nil {
-			c.server.LogEvent("connection fault", "connection_fault", "error", fmt.Sprint(fault), "stack", string(debug.Stack()))
-			response.reset()
-			c.server.WriteError(response, http.StatusInternalServerError, "internal error")
-			response.failed = true
-		}
-	}()
-	c.server.Handler.ServeHTTP(response, request)
+	err := guard.Run(func() error { c.server.Handler.ServeHTTP(response, request); return nil })
+	var panicked *guard.PanicError
+	if errors.As(err, &panicked) {
+		c.server.LogEvent("connection fault", "connection_fault", "error", fmt.Sprint(panicked.Cause), "stack", panicked.Stack)
+		response.reset()
+		c.server.WriteError(response, http.StatusInternalServerError, "internal error")
+		response.failed = true
+	}
 }
 
 // write writes a response and reports whether that succeeded.
