Reject malformed operators' files with an error in place of a panic

Cause: the YAML library panics over a tagged scalar in the place of a list, and operators' files went to it without guard and limits.

Change: all YAML goes through config/strictyaml, which refuses tags without a meaning and bounds nesting, keys, aliases and errors before the parser runs, and turns a panic of the library into an error with advice. Parsers of host, installation, residency, rollout and subscribers' files and of plans are guarded as a whole. Change files and region files are read with a bound.

--- a/cmd/chalkring/rollout.go
+++ b/cmd/chalkring/rollout.go
@@ -15,6 +15,7 @@
 	"chalkring/control/rollout"
 	"chalkring/coordinator"
 	"chalkring/coordinator/plan"
+	"chalkring/endpoints/hostfile"
 	"chalkring/internal/advice"
 )
 
@@ -61,7 +62,7 @@
 	if file.Cluster.StoreFile == "" {
 		return &MissingStoreError{}
 	}
-	text, err := os.ReadFile(file.Cluster.RolloutFile)
+	text, err := hostfile.ReadText(file.Cluster.RolloutFile)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
--- a/cmd/chalkring/rollout_inputs.go
+++ b/cmd/chalkring/rollout_inputs.go
@@ -12,6 +12,7 @@
 
 	"chalkring/cluster/crdt"
 	"chalkring/control/rollout"
+	"chalkring/endpoints/hostfile"
 	"chalkring/internal/advice"
 )
 
@@ -102,7 +103,7 @@
 
 // read reads the file. One that cannot be used is logged once and changes nothing.
 func (c *changeFileReader) read(controller *rollout.Controller) {
-	text, err := os.ReadFile(c.path)
+	text, err := hostfile.ReadText(c.path)
 	switch {
 	case errors.Is(err, os.ErrNotExist):
 		c.text = nil
--- a/config/installation.go
+++ b/config/installation.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"chalkring/config/strictyaml"
+	"chalkring/internal/guard"
 )
 
 const (
@@ -78,6 +79,10 @@
 
 // Parse decodes and checks a file's text, fills in defaults, and resolves the relative file paths in it against dir.
 func Parse(text []byte, dir string) (*File, error) {
+	return guard.Read(func() (*File, error) { return parse(text, dir) })
+}
+
+func parse(text []byte, dir string) (*File, error) {
 	file := &File{}
 	document, err := strictyaml.Decode(text, maxFileBytes, file)
 	if err != nil {
--- a/config/strictyaml/strictyaml.go
+++ b/config/strictyaml/strictyaml.go
@@ -11,13 +11,20 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+
+	"chalkring/internal/guard"
 )
 
+// maxErrors is how many errors of a file are kept; finding the position of each takes time.
+const maxErrors = 100
+
 // defaultRemedy is the advice of errors whose text already says what to correct.
 const defaultRemedy = "Correct the file at the place that the error names, then run `chalkring check FILE`."
 
@@ -45,8 +52,9 @@
 
 // Document is a decoded file and the errors found in it. It is not safe for concurrent use.
 type Document struct {
-	tree   *ast.File
-	errors []error
+	tree    *ast.File
+	errors  []error
+	leftOut int // errors beyond maxErrors
 }
 
 // ReadFile reads a file that is then passed to Decode with the same maxBytes. However large the file is, it reads at most
@@ -68,22 +76,63 @@
 			Problem: fmt.Sprintf("the file is larger than %d bytes", maxBytes), Remedy: "Split the file, or check that it is the right one.",
 		}
 	}
-	tree, err := parser.ParseBytes(text, 0)
+	tree, err := ParseTree(text, maxBytes)
 	if err != nil {
-		return nil, newDecodeError(err)
+		return nil, err
 	}
 	if len(tree.Docs) > 1 {
 		return nil, &InvalidFileError{
 			Problem: "the file has more than one document", Remedy: "Keep one document: remove the lines of three dashes.",
 		}
 	}
-	err = yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(target)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, newDecodeError(err)
+	if err := DecodeTree(text, target); err != nil {
+		return nil, err
 	}
 	return &Document{tree: tree}, nil
 }
 
+// ParseTree parses text of a file that may have at most maxBytes. It returns an InvalidFileError if the text is not valid, is
+// nested too deeply, or has tags without a meaning here.
+func ParseTree(text []byte, maxBytes int) (*ast.File, error) {
+	return guardLibrary(func() (*ast.File, error) {
+		tokens := lexer.Tokenize(string(text) + "\n") // without a last line end, the lexer leaves out a last tag
+		if err := checkStructure(tokens); err != nil {
+			return nil, err
+		}
+		tree, err := parser.Parse(tokens, 0)
+		if err != nil {
+			return nil, newDecodeError(err)
+		}
+		return tree, checkAliases(tree, maxBytes)
+	})
+}
+
+// DecodeTree decodes text that ParseTree has accepted into the value that target points at; an empty text leaves it unchanged.
+// Its error is an InvalidFileError.
+func DecodeTree(text []byte, target any) error {
+	_, err := guardLibrary(func() (struct{}, error) {
+		err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(target)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return struct{}{}, newDecodeError(err)
+		}
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// guardLibrary calls the YAML library, which panics over some texts that it should reject.
+func guardLibrary[V any](call func() (V, error)) (V, error) {
+	value, err := guard.Read(call)
+	var panicked *guard.PanicError
+	if errors.As(err, &panicked) {
+		err = &InvalidFileError{
+			Problem: fmt.Sprintf("the text cannot be decoded (%.200s)", fmt.Sprint(panicked.Cause)),
+			Remedy:  "Look for a value of another form than its key has, such as a single value in the place of a list; then run `chalkring check FILE`.",
+		}
+	}
+	return value, err
+}
+
 // newDecodeError keeps the first line of the YAML library's error, which has the position and the problem. The lines
 // after it quote the source.
 func newDecodeError(err error) error {
@@ -99,6 +148,10 @@
 
 // AddErrorWithRemedy is AddError with the given advice in place of defaultRemedy.
 func (d *Document) AddErrorWithRemedy(path, remedy, format string, args ...any) {
+	if len(d.errors) >= maxErrors {
+		d.leftOut++
+		return
+	}
 	invalid := &InvalidFileError{
 		Path: strings.TrimPrefix(path, "$."), Problem: fmt.Sprintf(format, args...), Remedy: remedy,
 	}
@@ -111,11 +164,13 @@
 
 // Position returns the line and column of a path, both counted from 1, or 0, 0 if the path is not in the file.
 func (d *Document) Position(path string) (line, column int) {
-	yamlPath, err := yaml.PathString(path)
-	if err != nil {
-		return 0, 0
-	}
-	node, err := yamlPath.FilterFile(d.tree)
+	node, err := guardLibrary(func() (ast.Node, error) {
+		yamlPath, err := yaml.PathString(path)
+		if err != nil {
+			return nil, err
+		}
+		return yamlPath.FilterFile(d.tree)
+	})
 	if err != nil || node == nil || node.GetToken() == nil {
 		return 0, 0
 	}
@@ -123,5 +178,11 @@
 	return position.Line, position.Column
 }
 
-// Err joins all errors added so far, in the order of their addition. It returns nil if there are none.
-func (d *Document) Err() error { return errors.Join(d.errors...) }
+// Err joins the errors added so far, in the order of their addition. It returns nil if there are none.
+func (d *Document) Err() error {
+	all := d.errors
+	if d.leftOut > 0 {
+		all = append(slices.Clone(all), &InvalidFileError{Problem: fmt.Sprintf("%d further errors", d.leftOut), Remedy: defaultRemedy})
+	}
+	return errors.Join(all...)
+}
--- a/config/strictyaml/strictyaml_test.go
+++ b/config/strictyaml/strictyaml_test.go
@@ -1,7 +1,10 @@
 package strictyaml
 
 import (
+	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -36,3 +39,63 @@
 		require.NotEmpty(t, invalid.Advice(), name)
 	}
 }
+
+// Guards against a text that takes memory or time out of proportion to its length, and against a limit that rejects what it
+// should not: each text is accepted at the limit and rejected above it, in time.
+func TestCostOfTextIsBounded(t *testing.T) {
+	list := func(n int) string { return strings.Repeat("[", n) + strings.Repeat("]", n) }
+	keys := func(n int) string {
+		var text strings.Builder
+		for i := range n {
+			fmt.Fprintf(&text, "  k%d: 1\n", i)
+		}
+		return "a:\n" + text.String()
+	}
+	indented := func(n int) string {
+		var text strings.Builder
+		for i := range n {
+			text.WriteString(strings.Repeat(" ", i) + "a:\n")
+		}
+		return text.String()
+	}
+	aliases := func(levels int) string {
+		text := "a0: &a0 [1, 1, 1, 1, 1, 1, 1, 1, 1, 1]\n"
+		for i := range levels {
+			repeated := strings.Repeat(fmt.Sprintf("*a%d, ", i), 10)
+			text += fmt.Sprintf("a%d: &a%d [%s]\n", i+1, i+1, strings.TrimSuffix(repeated, ", "))
+		}
+		return text
+	}
+	for _, x := range []struct{ name, within, beyond, problem string }{
+		{"lists", "a: " + list(maxNesting-1), "a: " + list(maxNesting), "nested over 32 deep"},
+		{"open lists", "a: [1]", "a: " + strings.Repeat("[", 200_000), "nested over 32 deep"},
+		{"open mappings", "a: {b: 1}", strings.Repeat("{a: ", 200_000), "nested over 32 deep"},
+		{"dashes", "a:\n" + strings.Repeat("- ", maxNesting-3) + "1", "a:\n" + strings.Repeat("- ", 200_000), "nested over 32 deep"},
+		{"question marks", "? a\n: 1\n", strings.Repeat("? ", 200_000), "nested over 32 deep"},
+		{"indented mappings", indented(maxNesting), indented(maxNesting + 1), "nested over 32 deep"},
+		{"keys", keys(maxKeys), keys(maxKeys + 1), "over 10000 keys"},
+		{"list", "a:\n" + strings.Repeat("- 1\n", 2*maxKeys), "a:\n" + strings.Repeat("- 1\n", 2*maxKeys) + keys(maxKeys+1), "over 10000 keys"},
+		{"aliases", aliases(2), aliases(4), "the aliases stand for over 16384 values"},
+		{"many levels of aliases", "a: &a 1\nb: *a\n", aliases(1000), "the aliases stand for over 16384 values"},
+		{"tags", "a: !!str 1\n", "a: !str 1", "tag !str is not supported"},
+	} {
+		beganAt := time.Now()
+		_, err := Decode([]byte(x.within), 1<<20, &map[string]any{})
+		require.NoError(t, err, x.name)
+		_, err = Decode([]byte(x.beyond), 1<<20, &map[string]any{})
+		require.ErrorContains(t, err, x.problem, x.name)
+		require.Less(t, time.Since(beganAt), 5*time.Second, x.name)
+	}
+}
+
+// Guards against an error of unbounded length for a file with very many errors.
+func TestErrorsOfOneFileAreBounded(t *testing.T) {
+	document, err := Decode([]byte("a: 1\n"), 100, &map[string]any{})
+	require.NoError(t, err)
+	for range 10 * maxErrors {
+		document.AddError("$.a", "is wrong")
+	}
+	text := document.Err().Error()
+	require.Equal(t, maxErrors, strings.Count(text, "is wrong"))
+	require.True(t, strings.HasSuffix(text, "\n900 further errors"))
+}
--- a/control/fanout/region_file.go
+++ b/control/fanout/region_file.go
@@ -61,7 +61,7 @@
 
 // IsRegionFile reports whether a YAML file looks like a region's file.
 func IsRegionFile(path string) bool {
-	text, err := os.ReadFile(path)
+	text, err := strictyaml.ReadFile(path, maxFileBytes)
 	return err == nil && bytes.Contains(append([]byte("\n"), text...), []byte("\nsubscriptions:"))
 }
 
--- a/control/residency/policy_file.go
+++ b/control/residency/policy_file.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chalkring/config/strictyaml"
+	"chalkring/internal/guard"
 )
 
 const (
@@ -46,6 +47,10 @@
 // ParsePolicy reads the text of a policy file and reports all of its faults with line and column. The names in it are
 // checked against site. Source is the file's name in messages.
 func ParsePolicy(source string, text []byte, site Site) (*Policy, error) {
+	return guard.Read(func() (*Policy, error) { return readPolicy(source, text, site) })
+}
+
+func readPolicy(source string, text []byte, site Site) (*Policy, error) {
 	var file policyFile
 	document, err := strictyaml.Decode(text, maxFileBytes, &file)
 	if err != nil {
--- a/control/rollout/change_file.go
+++ b/control/rollout/change_file.go
@@ -11,6 +11,7 @@
 
 	"chalkring/config/settings"
 	"chalkring/config/strictyaml"
+	"chalkring/internal/guard"
 )
 
 const (
@@ -84,7 +85,7 @@
 
 // ParseChangeFile reads the text of a change file; path is for error messages. Its errors are InvalidChangeFileError.
 func ParseChangeFile(path string, text []byte) (*ChangeFile, error) {
-	file, err := parseChangeFile(text)
+	file, err := guard.Read(func() (*ChangeFile, error) { return parseChangeFile(text) })
 	if err != nil {
 		return nil, &InvalidChangeFileError{path, err}
 	}
--- a/control/subscribers/region_file.go
+++ b/control/subscribers/region_file.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chalkring/config/strictyaml"
+	"chalkring/internal/guard"
 )
 
 const (
@@ -57,6 +58,10 @@
 
 // ParseYAML reads a region's file and reports its faults with line and column.
 func ParseYAML(text []byte) (*RegionFile, error) {
+	return guard.Read(func() (*RegionFile, error) { return parseYAML(text) })
+}
+
+func parseYAML(text []byte) (*RegionFile, error) {
 	var content struct {
 		FileHeader    `yaml:",inline"`
 		Subscriptions []subscriptionEntry `yaml:"subscriptions"`
@@ -81,6 +86,10 @@
 // ParseJSONLines reads a region's file in the form of JSON lines, the first of which is the header. This form is for
 // files of up to 100,000 lines, for which YAML takes too long.
 func ParseJSONLines(text []byte) (*RegionFile, error) {
+	return guard.Read(func() (*RegionFile, error) { return parseJSONLines(text) })
+}
+
+func parseJSONLines(text []byte) (*RegionFile, error) {
 	if len(text) > maxJSONLinesBytes {
 		return nil, &InvalidLineError{0, fmt.Sprintf("the file has more than the %d bytes allowed", maxJSONLinesBytes)}
 	}
--- a/coordinator/plan/plan.go
+++ b/coordinator/plan/plan.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"chalkring/config/settings"
+	"chalkring/internal/guard"
 )
 
 // minSockets is the smallest number of descriptors that a plan may grant: clients, replicas and discovery each need some.
@@ -48,6 +49,10 @@
 
 // Parse reads a plan from JSON and validates it.
 func Parse(text []byte) (*Plan, error) {
+	return guard.Read(func() (*Plan, error) { return parse(text) })
+}
+
+func parse(text []byte) (*Plan, error) {
 	object, err := DecodeObject(text)
 	if err != nil {
 		return nil, err
--- a/endpoints/hostfile/parse.go
+++ b/endpoints/hostfile/parse.go
@@ -6,16 +6,15 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 
+	"chalkring/config/strictyaml"
 	"chalkring/endpoints"
+	"chalkring/internal/guard"
 )
 
 const (
@@ -62,7 +61,14 @@
 // Parse parses a file's text as an update from the source called name. Its error is an endpoints.InvalidListError, with
 // line and column if they are known.
 func Parse(name string, text []byte) (endpoints.Update, error) {
-	update, fault := parse(text)
+	var fault *parseFault
+	update, err := guard.Read(func() (update endpoints.Update, err error) {
+		update, fault = parse(text)
+		return update, nil
+	})
+	if err != nil {
+		fault = fileFault("%v", err)
+	}
 	if fault != nil {
 		return endpoints.Update{}, endpoints.InvalidListError{
 			Source: name, HostID: fault.hostID, Line: fault.line, Column: fault.column, Reason: fault.reason,
@@ -116,16 +122,15 @@
 
 // decode decodes a text and returns its content with the positions of its hosts.
 func decode(text []byte) (content fileContent, positions []position, fault *parseFault) {
-	tree, err := parser.ParseBytes(text, 0)
+	tree, err := strictyaml.ParseTree(text, maxFileBytes)
 	if err != nil {
-		return content, nil, fileFault("%s", firstLineOf(err))
+		return content, nil, decodeFault(err)
 	}
 	if len(tree.Docs) != 1 || tree.Docs[0].Body == nil {
 		return content, nil, fileFault("got %d YAML documents; expected exactly one that is not empty", len(tree.Docs))
 	}
-	err = yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(&content)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return content, nil, fileFault("%s", firstLineOf(err))
+	if err := strictyaml.DecodeTree(text, &content); err != nil {
+		return content, nil, decodeFault(err)
 	}
 	if content.Hosts == nil { // an empty file is more likely truncated than intended
 		fault = fileFault("no hosts given; write an empty list as hosts: []")
@@ -154,11 +159,13 @@
 	}, ""
 }
 
-// firstLineOf returns the first line of an error of the YAML library, which has the position. The other lines quote the
-// text.
-func firstLineOf(err error) string {
-	line, _, _ := strings.Cut(err.Error(), "\n")
-	return line
+// decodeFault returns the fault of a text that cannot be decoded.
+func decodeFault(err error) *parseFault {
+	var invalid *strictyaml.InvalidFileError
+	if errors.As(err, &invalid) {
+		return &parseFault{position: position{invalid.Line, invalid.Column}, reason: invalid.Problem}
+	}
+	return fileFault("%v", err)
 }
 
 // hostPositions returns the positions of the hosts in the order of the file.
--- a/endpoints/hostfile/watcher_test.go
+++ b/endpoints/hostfile/watcher_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"chalkring/internal/fake"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -189,3 +193,30 @@
 		}
 	}
 }
+
+// Guards against a watcher that ends, or ends the process, over a bad file: texts drawn by seed follow each other quickly, some
+// of them while they are read, and the good file after them is reported.
+func TestWatcherOutlivesBadFiles(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "hosts.yaml")
+	good := hostListText("a", "b", "c")
+	writeFile(t, path, good)
+	log := startWatcher(t, path)
+	log.await(t, 1, hasHosts(path, 3))
+	chance := rand.New(rand.NewSource(1))
+	for round := range 6 {
+		bad := "hosts: !include hall-a.yaml\n"
+		for range 1 + chance.Intn(4) {
+			writeFile(t, path, bad)
+			time.Sleep(time.Duration(chance.Intn(4)) * settleTime) // often long enough to be read
+			bad = fake.DrawBadYAML(chance, good)
+		}
+		ids := make([]string, 4+round) // as no list before
+		for i := range ids {
+			ids[i] = fmt.Sprint("host-", i)
+		}
+		writeFile(t, path, hostListText(ids...))
+		log.await(t, 1, hasHosts(path, len(ids)))
+	}
+	require.True(t, slices.ContainsFunc(log.all(), hasError), "no bad file was reported")
+}
