--- a/opensearch/frontend/opensearch_test.go
+++ b/opensearch/frontend/opensearch_test.go
@@ -209,7 +209,7 @@
 			text, _ := r.whole.Search([]byte(strings.Replace(body, `[{"age":"desc"},"town"]`,
 				`[{"age":{"order":"desc"}},{"town":{}},{"_id":{}}]`, 1)))
 			var want map[string]any
-			require.NoError(t, json.Unmarshal([]byte(text), &want))
+			require.NoError(t, json.Unmarshal(text, &want))
 			require.Equal(t, want["hits"].(map[string]any)["total"], m["hits"].(map[string]any)["total"])
 			require.Equal(t, ids(want), ids(m))
 			shards := m["_shards"].(map[string]any)
@@ -236,9 +236,9 @@
 	for _, i := range []int{0, 4} { // both hosts of two blocks
 		r.hosts[i].SetHandler(func(fake.ShardRequest) {})
 	}
-	status, m, _ := r.do("POST", "/nowhere/_search", `{}`)
+	status, _, _ := r.do("POST", "/nowhere/_search", `{}`)
 	require.Equal(t, 404, status)
-	status, m, _ = r.do("POST", "/picks/_search?allow_partial_search_results=false", `{"track_total_hits":true}`)
+	status, m, _ := r.do("POST", "/picks/_search?allow_partial_search_results=false", `{"track_total_hits":true}`)
 	require.Equal(t, 200, status, "%v", m)
 	shards := m["_shards"].(map[string]any)
 	require.Equal(t, []any{8.0, 6.0, 2.0}, []any{shards["total"], shards["successful"], shards["failed"]})
@@ -362,12 +362,12 @@
 	r := start(t)
 	var lines []string
 	for i := range 50 {
-		switch {
-		case i == 7:
+		switch i {
+		case 7:
 			lines = append(lines, `{"index":"members"}`, `{"query":{"nonsense":{}}}`)
-		case i == 9:
+		case 9:
 			lines = append(lines, `{not json`, `{}`)
-		case i == 11:
+		case 11:
 			lines = append(lines, `{"index":"nowhere"}`, `{}`)
 		default:
 			lines = append(lines, `{"index":"members"}`, fmt.Sprintf(`{"query":{"ids":{"values":["m%03d"]}}}`, i))
@@ -566,7 +566,7 @@
 		require.Contains(t, []int{400, 404}, status, path)
 		require.Contains(t, reason(m), want, path)
 	}
-	status, m, _ = r.do("DELETE", "/members/_search", "")
+	status, _, _ = r.do("DELETE", "/members/_search", "")
 	require.Equal(t, 405, status)
 	status, m, _ = r.do("POST", "/members/_search", "{\n\"sizes\":1}")
 	require.Equal(t, 400, status)
@@ -651,7 +651,7 @@
 		"correct": nil,
 		"another block": func(w http.ResponseWriter, req *http.Request, _ []byte) {
 			var block int
-			fmt.Sscanf(req.URL.Query().Get("preference"), "_shards:%d", &block)
+			_, _ = fmt.Sscanf(req.URL.Query().Get("preference"), "_shards:%d", &block)
 			text, _ := r.blocks[(block+4)%8].Search(q.ShardRequestBody())
 			w.Write(text)
 		},
--- a/opensearch/frontend/search.go
+++ b/opensearch/frontend/search.go
@@ -63,41 +63,7 @@
 	}
 	a := &parsedSearch{index: x, q: q, blocks: x.Blocks, allowPartial: true}
 	for name, all := range values {
-		v := all[len(all)-1]
-		switch {
-		case slices.Contains(ignoredParams, name):
-		case slices.Contains(unsupportedParams, name):
-			err = fmt.Errorf("parameter [%s] is part of the API but not supported here", name)
-		case !slices.Contains(recognizedParams, name):
-			err = fmt.Errorf("request contains unrecognized parameter: [%.100s]", name)
-		case name == "allow_partial_search_results":
-			a.allowPartial, err = strconv.ParseBool(v)
-		case name == "cancel_after_time_interval":
-			a.cancelAfter, err = query.ParseDuration(v)
-		case name == "timeout":
-			q.Timeout, err = query.ParseDuration(v)
-		case name == "size":
-			q.Size, err = parseBounded(v, query.MaxResultWindow-q.From)
-		case name == "from":
-			q.From, err = parseBounded(v, query.MaxResultWindow-q.Size)
-		case name == "track_total_hits":
-			switch v {
-			case "true":
-				q.TrackTotalHits = math.MaxInt
-			case "false":
-				q.TrackTotalHits = 0
-			default:
-				q.TrackTotalHits, err = parseBounded(v, math.MaxInt32)
-			}
-		case name == "preference":
-			err = a.applyPreference(v)
-		case name == "routing":
-			err = a.applyRouting(v)
-		case name == "search_type" && v == "query_then_fetch":
-		default:
-			err = fmt.Errorf("parameter [%s] with value [%.40s] is part of the API but not supported here", name, v)
-		}
-		if err != nil {
+		if err := a.applyParameter(name, all[len(all)-1]); err != nil {
 			var e *query.APIError
 			if errors.As(err, &e) {
 				return nil, e
@@ -113,6 +79,44 @@
 	return a, nil
 }
 
+// applyParameter applies a parameter of the URL or header line.
+func (a *parsedSearch) applyParameter(name, v string) (err error) {
+	switch {
+	case slices.Contains(ignoredParams, name):
+	case slices.Contains(unsupportedParams, name):
+		err = fmt.Errorf("parameter [%s] is part of the API but not supported here", name)
+	case !slices.Contains(recognizedParams, name):
+		err = fmt.Errorf("request contains unrecognized parameter: [%.100s]", name)
+	case name == "allow_partial_search_results":
+		a.allowPartial, err = strconv.ParseBool(v)
+	case name == "cancel_after_time_interval":
+		a.cancelAfter, err = query.ParseDuration(v)
+	case name == "timeout":
+		a.q.Timeout, err = query.ParseDuration(v)
+	case name == "size":
+		a.q.Size, err = parseBounded(v, query.MaxResultWindow-a.q.From)
+	case name == "from":
+		a.q.From, err = parseBounded(v, query.MaxResultWindow-a.q.Size)
+	case name == "track_total_hits":
+		switch v {
+		case "true":
+			a.q.TrackTotalHits = math.MaxInt
+		case "false":
+			a.q.TrackTotalHits = 0
+		default:
+			a.q.TrackTotalHits, err = parseBounded(v, math.MaxInt32)
+		}
+	case name == "preference":
+		err = a.applyPreference(v)
+	case name == "routing":
+		err = a.applyRouting(v)
+	case name == "search_type" && v == "query_then_fetch":
+	default:
+		err = fmt.Errorf("parameter [%s] with value [%.40s] is part of the API but not supported here", name, v)
+	}
+	return err
+}
+
 func parseBounded(text string, limit int) (int, error) {
 	v, err := strconv.Atoi(text)
 	if err != nil || v < 0 || v > limit {
@@ -275,7 +279,9 @@
 			} `json:"total"`
 		} `json:"hits"`
 	}
-	json.Unmarshal(text, &m)
+	if err := json.Unmarshal(text, &m); err != nil {
+		return errorReply(500, "exception", "the merged answer cannot be read: %v", err)
+	}
 	return jsonReply(map[string]any{"count": m.Hits.Total.Value, "_shards": m.Shards})
 }
 
@@ -309,7 +315,7 @@
 			return nil
 		})
 	}
-	g.Wait()
+	_ = g.Wait() // the searches have no error
 	all := bytes.NewBufferString(fmt.Sprintf(`{"took":%d,"responses":[`, time.Since(began).Milliseconds()))
 	for i, one := range out {
 		if i > 0 {
