End one request, not the process, over a panic in a search of a msearch

Change: a panic there comes up on the goroutine that serves the request; internal/httpserver answers 500 and ends the connection.

Measured (arm64): TestPanicInMultiSearchEndsItsRequestAlone ended the test process before and passes.

--- a/opensearch/frontend/hidden_request_test.go
+++ b/opensearch/frontend/hidden_request_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -52,3 +53,11 @@
 	}
 	require.Zero(t, shardRequests.Load(), "shard requests of refused or hidden requests")
 }
+
+// Guards against a panic over one search of a msearch that ends the process: it comes up on the goroutine that serves the
+// request, where the server ends this request alone.
+func TestPanicInMultiSearchEndsItsRequestAlone(t *testing.T) {
+	f := &Server{Indices: []Index{{Name: "members", Blocks: []int{0}}}} // without the coordinator, a search panics
+	request := httptest.NewRequest(http.MethodPost, "/members/_msearch", strings.NewReader("{}\n{}\n{}\n{}\n"))
+	require.Panics(t, func() { f.ServeHTTP(httptest.NewRecorder(), request) })
+}
--- a/opensearch/frontend/search.go
+++ b/opensearch/frontend/search.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chalkring/coordinator"
+	"chalkring/internal/guard"
 	"chalkring/opensearch/query"
 )
 
@@ -311,11 +312,15 @@
 	g.SetLimit(concurrent)
 	for i := range out {
 		g.Go(func() error {
-			out[i] = f.searchFromLines(r, index, values, lines[2*i], lines[2*i+1])
-			return nil
+			return guard.Run(func() error {
+				out[i] = f.searchFromLines(r, index, values, lines[2*i], lines[2*i+1])
+				return nil
+			})
 		})
 	}
-	_ = g.Wait() // the searches have no error
+	if err := g.Wait(); err != nil {
+		panic(err) // on the connection's goroutine, where it ends this request alone
+	}
 	all := bytes.NewBufferString(fmt.Sprintf(`{"took":%d,"responses":[`, time.Since(began).Milliseconds()))
 	for i, one := range out {
 		if i > 0 {
