--- a/internal/http1/limits_test.go
+++ b/internal/http1/limits_test.go
@@ -7,6 +7,18 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against request smuggling by a coding that readers of HTTP/1.0 ignore: they take the chunks for further requests.
+func TestTransferCodingNeedsHTTP11(t *testing.T) {
+	const fields = "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+	_, _, _, _, _, err := newTestReader(strings.NewReader("POST / HTTP/1.0\r\n" + fields)).ReadRequest()
+	var invalid InvalidMessageError
+	require.ErrorAs(t, err, &invalid)
+	require.Equal(t, 400, invalid.Status)
+	_, _, _, body, _, err := newTestReader(strings.NewReader("POST / HTTP/1.1\r\nHost: x\r\n" + fields)).ReadRequest()
+	require.NoError(t, err)
+	require.Equal(t, "a", string(body))
+}
+
 // Guards against a head of many short fields, or a body of many short chunks, that costs many times its length.
 func TestFieldsAndChunksAreBounded(t *testing.T) {
 	for text, status := range map[string]int{
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -56,6 +56,9 @@
 	if _, hasHost := head.Fields[fieldHost]; !hasHost && !head.IsHTTP10 {
 		return head, invalidMessage(statusBadRequest, "missing Host header, expected one in an HTTP/1.1 request")
 	}
+	if _, hasCoding := head.Fields[fieldTransferEncoding]; hasCoding && head.IsHTTP10 {
+		return head, invalidMessage(statusBadRequest, "Transfer-Encoding in an HTTP/1.0 request, whose readers ignore it, expected Content-Length")
+	}
 	head.KeepAlive = keepsAlive(version, head.Fields)
 	return head, nil
 }
