Count the OpenSearch-style front's requests against the memory of all clients' requests

Cause: each request had a bound, their sum had none; the platform's front counts what all requests hold and has the largest unfinished one make room.

Change: connections of internal/httpserver have a holding of that same memory, for what they read and for what handlers take beyond it (decompressed bodies). A request without room gets 429, and so does one that has to make room. Bodies are not copied any more; the lines of a msearch are counted before they are split.

--- a/config/strictyaml/limits.go
+++ b/config/strictyaml/limits.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	maxNesting = 32 // collections within each other: the parser needs 430 MB for 16,000
-	maxKeys    = 10_000
+	maxNesting = 32     // collections within each other; the parser's memory grows with the square of the depth
+	maxKeys    = 10_000 // of one mapping in block form; the parser's time grows with their square
 
 	// Aliases may stand for so many nodes together: one for each aliasedBytesPerNode bytes that a file may have, and
 	// minAliasedNodes in any case. Without a limit, a few aliases of aliases would stand for millions.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,6 +67,7 @@
 		defer loop.enforcer.close()
 	}
 	if loop.searchAPI != nil {
+		loop.searchAPI.requests = listener.control
 		listener.limiter.resize(maxClientConnections(initial) - loop.searchAPI.MaxConnections)
 	}
 	if err := loop.startBalancer(); err != nil {
--- a/coordinator/search_api.go
+++ b/coordinator/search_api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chalkring/control/residency"
+	"chalkring/coordinator/ingress"
 	"chalkring/coordinator/plan"
 )
 
@@ -32,6 +33,7 @@
 	LogEvent        func(kind, event string, v ...any)
 
 	loop                   *eventLoop
+	requests               *ingressControl
 	classes, tenants       map[string]int
 	timeouts               []time.Duration // by class
 	blockSets, setsPerHost int
@@ -157,6 +159,31 @@
 	return len(d.cellByHost)
 }
 
+// RequestHolding is what the request of one connection holds of the memory that the requests of all clients share. Its methods
+// may be called by any goroutine.
+type RequestHolding struct {
+	control *ingressControl
+	holding ingress.Holding
+}
+
+// NewRequestHolding returns the holding of a connection.
+func (d *SearchAPI) NewRequestHolding() *RequestHolding {
+	return &RequestHolding{control: d.requests}
+}
+
+// MarkArriving records that a request arrives. Until MarkComplete, evict may be called, on any goroutine, because other
+// requests need the memory; it must not block.
+func (h *RequestHolding) MarkArriving(evict func()) { h.control.markArriving(&h.holding, evict) }
+
+// MarkComplete records that the request has arrived, or that its reading has failed.
+func (h *RequestHolding) MarkComplete() { h.control.markComplete(&h.holding) }
+
+// Reserve adds to what the request holds. It returns an error if there is no room.
+func (h *RequestHolding) Reserve(bytes int) error { return h.control.reserve(&h.holding, bytes) }
+
+// Release takes from what the request holds.
+func (h *RequestHolding) Release(bytes int) { h.control.release(&h.holding, bytes) }
+
 // updateHosts applies a full endpoint list, or changes of it.
 func (d *SearchAPI) updateHosts(full bool, hosts []plan.ListedHost) {
 	d.mu.Lock()
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chalkring/internal/guard"
@@ -18,18 +19,18 @@
 )
 
 const (
-	readBufferBytes = 16 << 10               // more than the longest head that http1 accepts
-	finalReadGrace  = 50 * time.Millisecond  // during a stop, for a request that is already on its way
-	lingerTimeout   = 500 * time.Millisecond // for a client to read the last response and to close the connection
-	maxLingerBytes  = 256 << 10              // read and dropped meanwhile
+	lingerTimeout  = 500 * time.Millisecond // for a client to read the last response and to close the connection
+	maxLingerBytes = 256 << 10              // read and dropped meanwhile
 )
 
-// connection is one client's connection. Its methods are called on one goroutine, except for interruptIdle.
+// connection is one client's connection. Its methods are called on one goroutine, except for interruptIdle and evict.
 type connection struct {
 	server     *Server
 	stopping   context.Context
 	conn       net.Conn
 	reader     *http1.Reader
+	holding    Holding
+	isEvicted  atomic.Bool // the request that is arriving has to give up its memory
 	acceptedAt time.Time
 	served     int // requests
 
@@ -42,10 +43,45 @@
 	if server.TLSConfig != nil {
 		c.conn = tls.Server(accepted, server.TLSConfig)
 	}
-	c.reader = http1.NewReader(c.conn, make([]byte, readBufferBytes))
+	c.holding = server.NewHolding()
+	c.reader = http1.NewAccountedReader(accountedConn{c.conn, c.holding})
 	return c
 }
 
+// accountedConn is a connection whose reader accounts for its memory. It implements http1.AccountedSource.
+type accountedConn struct {
+	net.Conn
+	holding Holding
+}
+
+// AwaitBytes implements http1.AccountedSource. It leaves the wait to Read, so a reader holds a buffer meanwhile, the smallest.
+func (accountedConn) AwaitBytes() error { return nil }
+
+// Reserve implements http1.AccountedSource.
+func (c accountedConn) Reserve(bytes int) error {
+	if c.holding.Reserve(bytes) != nil {
+		return ErrNoMemory
+	}
+	return nil
+}
+
+// Release implements http1.AccountedSource.
+func (c accountedConn) Release(bytes int) { c.holding.Release(bytes) }
+
+// evict ends the reading of the request that is arriving. The holding calls it.
+func (c *connection) evict() {
+	c.isEvicted.Store(true)
+	c.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// setArrivalDeadline limits the reading of a request, unless it has to be given up.
+func (c *connection) setArrivalDeadline(at time.Time) {
+	c.conn.SetReadDeadline(at)
+	if c.isEvicted.Load() {
+		c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // handshake does the TLS handshake, if there is one, in the time that the first head may take.
 func (c *connection) handshake(ctx context.Context) error {
 	secured, isTLS := c.conn.(*tls.Conn)
@@ -57,15 +93,19 @@
 	return secured.HandshakeContext(ctx)
 }
 
-// awaitRequest waits for the first bytes of a request. It returns false if none came.
+// awaitRequest waits for the first bytes of a request. It returns false if none came, or there is no memory for them.
 func (c *connection) awaitRequest() bool {
 	if c.served == 0 {
 		c.conn.SetReadDeadline(c.acceptedAt.Add(c.server.HeadTimeout))
-		return c.reader.AwaitMessage() == nil
+	} else {
+		c.beginIdle()
+	}
+	err := c.reader.AwaitMessage()
+	c.endIdle()
+	if errors.Is(err, ErrNoMemory) {
+		c.refuse(http.MethodGet, err)
 	}
-	c.beginIdle()
-	defer c.endIdle()
-	return c.reader.AwaitMessage() == nil
+	return err == nil
 }
 
 func (c *connection) beginIdle() {
@@ -74,7 +114,7 @@
 	c.isIdle = true
 	timeout := c.server.IdleTimeout
 	if c.stopping.Err() != nil {
-		timeout = finalReadGrace
+		timeout = c.server.StopGrace
 	}
 	c.conn.SetReadDeadline(time.Now().Add(timeout))
 }
@@ -90,15 +130,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isIdle {
-		c.conn.SetReadDeadline(time.Now().Add(finalReadGrace))
+		c.conn.SetReadDeadline(time.Now().Add(c.server.StopGrace))
 	}
 }
 
 // serveRequest reads a request whose first bytes have arrived, and answers it. It returns false if the connection ends.
 func (c *connection) serveRequest(ctx context.Context) (keep bool) {
+	c.holding.MarkArriving(c.evict)
 	request, head, err := c.readRequest()
+	c.holding.MarkComplete()
+	if c.isEvicted.Swap(false) && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = ErrNoMemory
+	}
 	if err != nil {
-		c.refuse(request, err)
+		c.refuse(request.Method, err)
 		return false
 	}
 	c.served++
@@ -122,7 +167,7 @@
 		begunAt = c.acceptedAt
 	}
 	unread := &http.Request{Method: http.MethodGet}
-	c.conn.SetReadDeadline(begunAt.Add(c.server.HeadTimeout))
+	c.setArrivalDeadline(begunAt.Add(c.server.HeadTimeout))
 	head, err := c.reader.ReadRequestHead()
 	if err != nil {
 		return unread, head, err
@@ -131,7 +176,7 @@
 	if err != nil {
 		return unread, head, err
 	}
-	c.conn.SetReadDeadline(begunAt.Add(c.server.RequestTimeout))
+	c.setArrivalDeadline(begunAt.Add(c.server.RequestTimeout))
 	c.reader.SetBodyLimit(c.server.BodyLimit(request.URL.Path))
 	if err := c.sendContinue(head); err != nil {
 		return request, head, err
@@ -164,10 +209,12 @@
 }
 
 // refuse answers a request that cannot be read, and waits until its client has had time to read the response.
-func (c *connection) refuse(request *http.Request, err error) {
+func (c *connection) refuse(method string, err error) {
 	var invalid http1.InvalidMessageError
 	switch {
 	case errors.As(err, &invalid):
+	case errors.Is(err, ErrNoMemory):
+		invalid = http1.InvalidMessageError{Status: http.StatusTooManyRequests, Message: "there is no memory for the request now"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		invalid = http1.InvalidMessageError{Status: http.StatusRequestTimeout, Message: "the request did not arrive in time"}
 	case errors.Is(err, io.ErrUnexpectedEOF):
@@ -178,7 +225,7 @@
 	c.server.LogEvent("bad_request", "bad_request", "client", c.conn.RemoteAddr().String(), "status", invalid.Status, "error", invalid.Message)
 	response := newResponse()
 	c.server.WriteError(response, invalid.Status, invalid.Message)
-	if c.write(response, request.Method) {
+	if c.write(response, method) {
 		c.linger()
 	}
 }
@@ -188,13 +235,19 @@
 func (c *connection) handle(ctx context.Context, response *response, request *http.Request) (isOpen bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	memory := &requestMemory{holding: c.holding}
+	defer memory.releaseAll()
 	c.conn.SetReadDeadline(time.Time{})
 	readEnd := make(chan error, 1)
 	go func() { readEnd <- c.readAhead(cancel) }()
-	c.runHandler(response, request.WithContext(ctx))
+	c.runHandler(response, request.WithContext(withRequestMemory(ctx, memory)))
 	c.conn.SetReadDeadline(time.Unix(1, 0)) // ends readAhead
-	err := <-readEnd
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, http1.ErrBufferFull)
+	return !isEnd(<-readEnd)
+}
+
+// isEnd reports whether an error of reading ahead is the end of the connection.
+func isEnd(err error) bool {
+	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, http1.ErrBufferFull) && !errors.Is(err, ErrNoMemory)
 }
 
 // readAhead reads until an error, and calls cancel if it is the end of the connection.
@@ -204,7 +257,7 @@
 		switch {
 		case err == nil:
 			continue
-		case !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, http1.ErrBufferFull):
+		case isEnd(err):
 			cancel()
 		}
 		return err
@@ -233,6 +286,7 @@
 // linger tells the client that no more comes, and drops what it still sends for a while: closing with unread bytes would send
 // a reset, which can cut off the response before the client has read it.
 func (c *connection) linger() {
+	c.reader.Close()
 	if writer, ok := c.conn.(interface{ CloseWrite() error }); ok && writer.CloseWrite() != nil {
 		return
 	}
--- a/internal/httpserver/message.go
+++ b/internal/httpserver/message.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"net/http"
 	"net/textproto"
 	"net/url"
@@ -40,7 +39,26 @@
 	if len(body) == 0 {
 		return
 	}
-	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	request.Body, request.ContentLength = receivedBody{bytes.NewReader(body), body}, int64(len(body))
+}
+
+// receivedBody is the body of a request, all of which is in memory.
+type receivedBody struct {
+	*bytes.Reader
+	text []byte
+}
+
+// Close implements io.Closer.
+func (receivedBody) Close() error { return nil }
+
+// ReceivedBody returns the body of a request of this package without a copy; it must not be changed. Of other requests it
+// returns false.
+func ReceivedBody(request *http.Request) (text []byte, isReceived bool) {
+	if request.Body == http.NoBody {
+		return nil, true
+	}
+	body, isReceived := request.Body.(receivedBody)
+	return body.text, isReceived
 }
 
 // response holds a handler's response until it is written. It implements http.ResponseWriter. Every status has a body.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,15 +18,31 @@
 // acceptRetryDelay is the wait after a failed accept, in which descriptors can become free.
 const acceptRetryDelay = 100 * time.Millisecond
 
+// Holding is what the request of one connection holds of a memory that many connections share. Its methods are called by
+// several goroutines.
+type Holding interface {
+	// MarkArriving is called when a request begins to arrive. Until MarkComplete, evict may be called from any goroutine, to
+	// give up the request because others need its memory.
+	MarkArriving(evict func())
+	// MarkComplete is called when the request has arrived or its reading has failed.
+	MarkComplete()
+	// Reserve adds to what is held. An error means that there is no room.
+	Reserve(bytes int) error
+	// Release takes from what is held.
+	Release(bytes int)
+}
+
 // Server serves a handler on a listener. All fields but TLSConfig are required.
 type Server struct {
 	Handler        http.Handler
-	TLSConfig      *tls.Config // nil for plain HTTP
-	MaxConnections int         // open at the same time; further ones wait in the listener's queue
+	TLSConfig      *tls.Config    // nil for plain HTTP
+	MaxConnections int            // open at the same time; further ones wait in the listener's queue
+	NewHolding     func() Holding // is called for each connection
 
 	HeadTimeout    time.Duration // for reading a request's head; for a connection's first request from accepting it
 	RequestTimeout time.Duration // for reading a whole request, counted as HeadTimeout is
 	IdleTimeout    time.Duration // after which a connection without a request is closed
+	StopGrace      time.Duration // after a stop, for the next request of a connection that has had one
 	WriteTimeout   time.Duration // for writing a response
 
 	// BodyLimit returns how many bytes the body of a request for a path may have.
@@ -96,6 +112,7 @@
 	defer accepted.Close()
 	defer context.AfterFunc(ctx, func() { accepted.Close() })()
 	served := newConnection(s, stopping, accepted)
+	defer served.reader.Close()
 	defer context.AfterFunc(stopping, served.interruptIdle)()
 	if err := served.handshake(ctx); err != nil {
 		s.LogEvent("tls_handshake", "tls_handshake_failed", "client", accepted.RemoteAddr().String(), "error", err)
--- a/opensearch/frontend/reply.go
+++ b/opensearch/frontend/reply.go
@@ -14,9 +14,11 @@
 )
 
 // writeError writes the response to a request that cannot be read, or whose handler has panicked.
-func writeError(w http.ResponseWriter, status int, message string) {
+func (f *Server) writeError(w http.ResponseWriter, status int, message string) {
 	kind := "parse_exception"
 	switch status {
+	case http.StatusTooManyRequests:
+		kind = "rejected_execution_exception"
 	case http.StatusInternalServerError:
 		kind = "exception"
 	case http.StatusRequestTimeout:
@@ -24,7 +26,11 @@
 	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
 		kind = "illegal_argument_exception"
 	}
-	errorReply(status, kind, "%s", message).write(w, false)
+	out := errorReply(status, kind, "%s", message)
+	if status == http.StatusTooManyRequests && f.api.SendRetryAfter {
+		out.retryAfter = retryAfterFullMemory
+	}
+	out.write(w, false)
 }
 
 // reply is an HTTP response that is yet to be written.
--- a/opensearch/frontend/search.go
+++ b/opensearch/frontend/search.go
@@ -292,13 +292,15 @@
 	if err != nil {
 		return errorReplyOf(err)
 	}
-	lines := bytes.Split(bytes.TrimSuffix(text, []byte("\n")), []byte("\n"))
-	if len(lines)%2 != 0 || len(bytes.TrimSpace(text)) == 0 {
-		return errorReply(400, "illegal_argument_exception", "a msearch must have pairs of lines, a header and a body each, but this one has %d lines", len(lines))
+	text = bytes.TrimSuffix(text, []byte("\n"))
+	count := 1 + bytes.Count(text, []byte("\n")) // before they are split, since a slice of many empty lines is long
+	if count%2 != 0 || len(bytes.TrimSpace(text)) == 0 {
+		return errorReply(400, "illegal_argument_exception", "a msearch must have pairs of lines, a header and a body each, but this one has %d lines", count)
 	}
-	if len(lines)/2 > maxMultiSearches {
-		return errorReply(400, "illegal_argument_exception", "a msearch of %d searches exceeds the limit of %d", len(lines)/2, maxMultiSearches)
+	if count/2 > maxMultiSearches {
+		return errorReply(400, "illegal_argument_exception", "a msearch of %d searches exceeds the limit of %d", count/2, maxMultiSearches)
 	}
+	lines := bytes.Split(text, []byte("\n"))
 	values := r.URL.Query()
 	concurrent := defaultConcurrentSearches
 	if v := values.Get("max_concurrent_searches"); v != "" {
--- a/opensearch/frontend/server.go
+++ b/opensearch/frontend/server.go
@@ -27,6 +27,7 @@
 	headTimeout               = 2500 * time.Millisecond // for reading a request's head, as on the native frontend
 	bodyTimeout               = 5 * time.Second         // for reading a whole request, at most a msearch of 4 MiB
 	idleTimeout               = 3 * time.Second         // after which an idle connection is closed
+	stopGrace                 = 50 * time.Millisecond   // during a stop, for a further request that is already on its way
 	maxBodyBytes              = 1 << 20                 // of a search's body, before and after decompression
 	maxMultiSearchBytes       = 4 << 20                 // of a msearch's body
 	maxMultiSearches          = 100                     // in one msearch
@@ -35,6 +36,7 @@
 	maxOpenTasks              = 4096                    // open searches; further ones are refused before they are dispatched
 	minGzipBytes              = 1 << 10                 // smaller answers are sent uncompressed
 	writeTimeout              = 5 * time.Second         // for writing an answer to the client
+	retryAfterFullMemory      = time.Second             // told to clients whose requests found no memory
 	minTimeout                = 10 * time.Millisecond   // shorter timeouts of a request are raised to this
 	maxOpaqueIDBytes          = 256                     // longer X-Opaque-Id values are cut to this
 	tagline                   = "chalkring: OpenSearch-style queries"
@@ -78,7 +80,8 @@
 	}
 	server := httpserver.Server{
 		Handler: f, TLSConfig: f.TLSConfig, MaxConnections: api.MaxConnections, HeadTimeout: headTimeout, RequestTimeout: bodyTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, BodyLimit: bodyLimit, WriteError: writeError, LogEvent: api.LogEvent,
+		IdleTimeout: idleTimeout, StopGrace: stopGrace, WriteTimeout: writeTimeout, BodyLimit: bodyLimit, WriteError: f.writeError, LogEvent: api.LogEvent,
+		NewHolding: func() httpserver.Holding { return api.NewRequestHolding() },
 	}
 	return server.Serve(ctx, stopping, f.Listener)
 }
@@ -148,12 +151,32 @@
 	return errorReply(405, "method_not_allowed", "method [%s] is not allowed for [%s]", r.Method, r.URL.Path)
 }
 
+// readAllFactor is how many times the length of a text io.ReadAll takes at most, since it copies the text as it grows.
+const readAllFactor = 2
+
+// reservingReader reserves the memory for what io.ReadAll reads from it.
+type reservingReader struct {
+	ctx    context.Context // of the request
+	source io.Reader
+}
+
+func (r reservingReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if reserveErr := httpserver.ReserveMemory(r.ctx, readAllFactor*n); reserveErr != nil {
+		return 0, reserveErr
+	}
+	return n, err
+}
+
 // readBody reads a request's body and decompresses it. The limit applies before and after decompression, so that a small
 // body cannot decompress to a huge one.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	var in io.Reader = http.MaxBytesReader(nil, r.Body, limit)
 	switch encoding := r.Header.Get("Content-Encoding"); encoding {
 	case "", "identity":
+		if text, isReceived := httpserver.ReceivedBody(r); isReceived && int64(len(text)) <= limit {
+			return text, nil
+		}
 	case "gzip":
 		z, err := gzip.NewReader(in)
 		if err != nil {
@@ -163,12 +186,14 @@
 	default:
 		return nil, &query.APIError{Status: 415, Type: "illegal_argument_exception", Reason: fmt.Sprintf("Content-Encoding [%.40s] is not supported: expected gzip or identity", encoding)}
 	}
-	text, err := io.ReadAll(io.LimitReader(in, limit+1))
+	text, err := io.ReadAll(reservingReader{r.Context(), io.LimitReader(in, limit+1)})
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
 	case errors.As(err, &tooLarge) || int64(len(text)) > limit:
 		return nil, &query.APIError{Status: 413, Type: "illegal_argument_exception", Reason: fmt.Sprintf("the body is longer than %d bytes", limit)}
+	case errors.Is(err, httpserver.ErrNoMemory):
+		return nil, &query.APIError{Status: 429, Type: "rejected_execution_exception", Reason: err.Error()}
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return nil, &query.APIError{Status: 408, Type: "timeout_exception", Reason: "the body did not arrive in time"}
 	case err != nil:
