Apply lists at once that drop many hosts or the last holder of a set

Cause: endpoints/guards.go, holdBackReason and mergeIntoHeld; retireStores kept hosts that only the store lists for the same reason. The logs had list_held at the moment of the list; without the store the same list is in force at once. No time to hold back fits the operators' sentences (docs/endpoints.md), so the guard goes. A warning (list_warning) says what the update drops and what to do.

Tests replaced: TestUpdateThatDropsManyHostsIsHeldBack, TestUpdateThatDropsTheLastHolderOfABlockSetIsHeldBack and TestStoreIsRetiredByDiscovery asked for the fault itself. Their replacements check each way of withdrawing hosts at once, the warning, and that a store never outlives discovery's list.

--- a/coordinator/endpoint_sources.go
+++ b/coordinator/endpoint_sources.go
@@ -17,7 +17,6 @@
 	registry         *endpoints.Registry
 	discoveryUpdates chan discoveryUpdate
 	updates          <-chan endpoints.Update // from sources other than discovery
-	loggedHolds      map[string]string       // by source, the last logged reason why its list is held back
 }
 
 // discoveryUpdate is a list from discovery; result receives the reason it was refused, or nil if it was accepted.
@@ -28,7 +27,7 @@
 
 // newEndpointSources returns sources that start with the plan's list.
 func newEndpointSources(loop *eventLoop, updates <-chan endpoints.Update, version int64, known []plan.ListedHost) *endpointSources {
-	s := &endpointSources{loop: loop, registry: endpoints.NewRegistry(loop.plan.EndpointRules()), discoveryUpdates: make(chan discoveryUpdate), updates: updates, loggedHolds: map[string]string{}}
+	s := &endpointSources{loop: loop, registry: endpoints.NewRegistry(loop.plan.EndpointRules()), discoveryUpdates: make(chan discoveryUpdate), updates: updates}
 	_, _ = s.apply(newEndpointUpdate("plan", endpoints.RankPlan, version, true, false, known)) // apply logs a refusal
 	return s
 }
@@ -93,7 +92,7 @@
 	}
 }
 
-// apply hands a list to the registry, and logs a refusal or a list that is held back.
+// apply hands a list to the registry, and logs a refusal or what is suspicious about an accepted list.
 func (s *endpointSources) apply(update endpoints.Update) (changed bool, err error) {
 	for i := range update.Hosts {
 		update.Hosts[i].Zone, update.Hosts[i].Kind = settings.FormatValue(update.Hosts[i].Zone), settings.FormatValue(update.Hosts[i].Kind)
@@ -104,15 +103,14 @@
 		s.loop.recordEvent("list_refused", update.Source+": "+err.Error())
 		return false, err
 	}
-	held := s.registry.HeldBackSources()
-	if why := held[update.Source]; why != "" && why != s.loggedHolds[update.Source] {
-		s.loop.log.warnLimited("list_held "+update.Source, "list_held", "source", update.Source, "why", why)
-		s.loop.recordEvent("list_held", update.Source+": "+why)
+	if warning := s.registry.Warning(); warning != "" {
+		s.loop.log.warnLimited("list_warning "+update.Source, "list_warning", "source", update.Source, "saw", warning,
+			"do", "The list counts. If it is wrong, correct it at its source; \"meant: true\" in a host file confirms such a list.")
+		s.loop.recordEvent("list_warning", update.Source+": "+warning)
 	}
-	if s.loop.Persistence != nil && update.Rank == endpoints.RankDiscovery && held[update.Source] == "" {
+	if s.loop.Persistence != nil && update.Rank == endpoints.RankDiscovery {
 		s.loop.Persistence.discoveryVersion.Store(update.Version)
 	}
-	s.loggedHolds = held
 	return changed, nil
 }
 
--- a/endpoints/endpoints.go
+++ b/endpoints/endpoints.go
@@ -1,7 +1,7 @@
 // Package endpoints merges the host lists of several sources (the plan, the store, discovery, files) into one endpoint
 // list. A Registry accepts or rejects each source's update as a whole and keeps the merged list, with a generation. The
 // package does no I/O; times are in tenths of a millisecond, of a clock that the caller reads. docs/endpoints.md
-// describes the precedence of sources and the guards against wrong lists.
+// describes the precedence of sources and the warnings about suspicious lists.
 package endpoints
 
 const (
--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -16,11 +16,6 @@
 	rank    Rank
 	version int64
 	hosts   map[string]Host // by id
-
-	held       *Update // the update that is held back, nil if there is none
-	heldUntil  int64
-	heldReason string
-	retireAt   int64 // when the source is removed, 0 for never
 }
 
 // Registry keeps the hosts of all sources and the merged list. Its methods are not safe for concurrent use.
@@ -30,6 +25,7 @@
 	removals   map[string]removal // by host id
 	list       map[string]Endpoint
 	generation int64
+	warning    string // about the last accepted update
 }
 
 // NewRegistry returns a registry without sources.
@@ -47,10 +43,14 @@
 	return list
 }
 
+// Warning returns what is suspicious about the update that Apply accepted last, empty if nothing is.
+func (r *Registry) Warning() string { return r.warning }
+
 // Apply accepts a source's update as a whole, or rejects it with an InvalidListError, and reports whether the merged list
-// has changed. An update whose version is not above the source's last one changes nothing; one that the guards hold back is
-// accepted later by Tick.
+// has changed. An update whose version is not above the source's last one changes nothing. Whatever an accepted update
+// drops or drains is out of use at once, however much it is: Warning says what an operator should know about it.
 func (r *Registry) Apply(now int64, update Update) (changed bool, err error) {
+	r.warning = ""
 	if err := r.validate(update); err != nil {
 		return false, err
 	}
@@ -62,19 +62,14 @@
 		return false, InvalidListError{Source: update.Source, Reason: "a version reset needs a complete list, not a partial update"}
 	}
 	s.rank = update.Rank
-	if update.Partial && s.held != nil { // the partial update's changes refer to the held update
-		update = mergeIntoHeld(s, update)
-	}
-	if reason := r.holdBackReason(s, update); reason != "" && !update.Confirmed {
-		s.holdBack(now, update, reason)
-		return r.Tick(now), nil
-	}
-	s.held = nil
+	hostsBefore, uncoveredBefore := s.hosts, r.UncoveredSets()
 	r.accept(now, s, update)
+	if r.hasDiscoveryUpdate() {
+		r.removeStores()
+	}
 	changed = r.rebuildList(now)
-	mayRetireStores := update.Rank == RankDiscovery || update.Rank == RankStore
-	if mayRetireStores && r.hasDiscoveryUpdate() && r.retireStores(now) {
-		changed = r.rebuildList(now) || changed
+	if !update.Confirmed {
+		r.warning = r.dropWarning(hostsBefore, s.hosts, uncoveredBefore)
 	}
 	return changed, nil
 }
@@ -95,39 +90,16 @@
 	return r.rebuildList(now)
 }
 
-// Tick accepts updates that have been held back long enough, and drops expired removals and retired sources. It reports
-// whether the merged list has changed.
-func (r *Registry) Tick(now int64) (changed bool) {
-	for _, name := range slices.Sorted(maps.Keys(r.sources)) {
-		if s := r.sources[name]; s.held != nil && now >= s.heldUntil {
-			update := *s.held
-			s.held = nil
-			r.accept(now, s, update)
-		} else if s.retireAt > 0 && now >= s.retireAt {
-			delete(r.sources, name)
-		}
-	}
-	return r.rebuildList(now)
-}
+// Tick drops expired removals and reports whether the merged list has changed.
+func (r *Registry) Tick(now int64) (changed bool) { return r.rebuildList(now) }
 
 // NextTick returns the time of the next Tick that has something to do, 0 for never.
 func (r *Registry) NextTick() (next int64) {
-	consider := func(at int64) {
-		if next == 0 || at < next {
+	for _, removed := range r.removals {
+		if at := removed.at + removalMemory; next == 0 || at < next {
 			next = at
 		}
 	}
-	for _, s := range r.sources {
-		if s.held != nil {
-			consider(s.heldUntil)
-		}
-		if s.retireAt > 0 {
-			consider(s.retireAt)
-		}
-	}
-	for _, removed := range r.removals {
-		consider(removed.at + removalMemory)
-	}
 	return next
 }
 
@@ -160,26 +132,8 @@
 	return false
 }
 
-// retireStores removes the sources of RankStore once discovery has sent a list, since hosts that only an earlier run knew
-// are outdated, and reports whether it removed any. If many hosts would be dropped with such a source, discovery's first
-// list may be truncated, so the source stays for holdBackTime.
-func (r *Registry) retireStores(now int64) (removed bool) {
-	for name, s := range r.sources {
-		if s.rank != RankStore || s.retireAt > 0 {
-			continue
-		}
-		onlyInStore := 0
-		for _, endpoint := range r.list {
-			if endpoint.Source == name {
-				onlyInStore++
-			}
-		}
-		if dropsTooMany(onlyInStore, len(r.list)) {
-			s.retireAt = now + holdBackTime
-			continue
-		}
-		delete(r.sources, name)
-		removed = true
-	}
-	return removed
+// removeStores removes the sources of RankStore: once discovery has sent a list, hosts that only an earlier run knew have
+// left.
+func (r *Registry) removeStores() {
+	maps.DeleteFunc(r.sources, func(_ string, s *source) bool { return s.rank == RankStore })
 }
