Take hosts of the plan out of use that discovery's first list leaves out

With a store or host files, a host that the plan lists and discovery's first complete list leaves out went on getting searches without end; without them the same list takes it out of use.

Cause: the registry kept the plan as a source of its own. Discovery had listed no host before in this life, so its first list removed none. Change: the plan is discovery's earlier list. First changes are changes of it, a first complete list removes what it leaves out, then the plan is no source.

--- a/coordinator/withdrawn_hosts_test.go
+++ b/coordinator/withdrawn_hosts_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// Guards against a host of the plan that gets attempts although discovery's first list leaves it out or removes it, where there
+// are other sources of hosts too.
+func TestFirstListReplacesThePlan(t *testing.T) {
+	for name, answer := range map[string]func(r *rig){
+		"complete list": func(r *rig) { r.answerList(8, false, r.entry("b1", "up")) },
+		"changes":       func(r *rig) { r.answerList(8, true, r.entries("removed", "a0", "a1", "b0")[:3]...) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := start(t, 256, nil)
+			updates := make(chan endpoints.Update)
+			r := first.restartWithStoreAndUpdates(filepath.Join(t.TempDir(), "kept"), store.Options{}, updates)
+			updates <- endpoints.Update{Source: "hosts.yaml", Rank: endpoints.RankFile, Version: 1, Hosts: []endpoints.Host{r.host("b1")}}
+			r.connect().expect("before", "all", 200, completeAnswer)
+			answer(r)
+			r.eventually("the list is in force", func() bool { return r.currentHosts() == "b1 " })
+			r.requireOnlyServing("b1")
+			r.shutDown()
+			first.shutDown()
+		})
+	}
+}
+
 // fileWith returns a host file's list of all replicas, of which some are in another state than up.
 func (r *rig) fileWith(version int64, state endpoints.State, inState ...string) endpoints.Update {
 	update := endpoints.Update{Source: "hosts.yaml", Rank: endpoints.RankFile, Version: version}
--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -62,11 +62,12 @@
 		return false, InvalidListError{Source: update.Source, Reason: "a version reset needs a complete list, not a partial update"}
 	}
 	s.rank = update.Rank
+	if s.rank == RankDiscovery && s.version == noVersion {
+		s.hosts = r.planHosts()
+	}
 	hostsBefore, uncoveredBefore := s.hosts, r.UncoveredSets()
 	r.accept(now, s, update)
-	if r.hasDiscoveryUpdate() {
-		r.removeStores()
-	}
+	r.removeOutdatedSources(now)
 	changed = r.rebuildList(now)
 	if !update.Confirmed {
 		r.warning = r.dropWarning(hostsBefore, s.hosts, uncoveredBefore)
@@ -106,7 +107,7 @@
 // accept applies an update to its source.
 func (r *Registry) accept(now int64, s *source, update Update) {
 	hosts := s.hostsAfter(update)
-	r.recordRemovals(now, s, hosts)
+	r.recordRemovals(now, s.name, s.hosts, hosts)
 	s.hosts, s.version = hosts, update.Version
 	r.adoptRemovals(now, update.Removals)
 }
@@ -123,17 +124,42 @@
 	return hosts
 }
 
-func (r *Registry) hasDiscoveryUpdate() bool {
+// planHosts returns the hosts of the plan. They are discovery's last list that the plan's author knew, so discovery's first
+// changes are changes of them, and what its first complete list leaves out of them has left.
+func (r *Registry) planHosts() map[string]Host {
+	hosts := map[string]Host{}
 	for _, s := range r.sources {
-		if s.rank == RankDiscovery && s.version != noVersion {
-			return true
+		if s.rank == RankPlan {
+			maps.Copy(hosts, s.hosts)
 		}
 	}
-	return false
+	return hosts
 }
 
-// removeStores removes the sources of RankStore: once discovery has sent a list, hosts that only an earlier run knew have
-// left.
-func (r *Registry) removeStores() {
-	maps.DeleteFunc(r.sources, func(_ string, s *source) bool { return s.rank == RankStore })
+// removeOutdatedSources removes the plan and the store once discovery has sent a list: both knew only its earlier ones. Hosts
+// of a plan that arrives later are removed if discovery does not list them, too.
+func (r *Registry) removeOutdatedSources(now int64) {
+	discovery := r.discovery()
+	if discovery == nil {
+		return
+	}
+	for name, s := range r.sources {
+		if s.rank >= RankDiscovery {
+			continue
+		}
+		if s.rank == RankPlan {
+			r.recordRemovals(now, discovery.name, s.hosts, discovery.hosts)
+		}
+		delete(r.sources, name)
+	}
+}
+
+// discovery returns the source of RankDiscovery, nil before its first update.
+func (r *Registry) discovery() *source {
+	for _, s := range r.sources {
+		if s.rank == RankDiscovery && s.version != noVersion {
+			return s
+		}
+	}
+	return nil
 }
--- a/endpoints/removals.go
+++ b/endpoints/removals.go
@@ -25,25 +25,26 @@
 	return removals
 }
 
-// recordRemovals records the removal of each host that newHosts, the source's new hosts, leaves out or lists as removed. It
-// deletes the removed hosts from newHosts, and forgets removals that newHosts revokes.
-func (r *Registry) recordRemovals(now int64, s *source, newHosts map[string]Host) {
-	for id, host := range s.hosts {
+// recordRemovals records the removal of each of a source's hosts that newHosts, its new ones, leaves out or lists as removed.
+// It deletes the removed hosts from newHosts, and forgets removals that newHosts revokes.
+func (r *Registry) recordRemovals(now int64, sourceName string, hosts, newHosts map[string]Host) {
+	for id, host := range hosts {
 		after, isListed := newHosts[id]
-		if host.State != StateRemoved && (!isListed || after.State == StateRemoved) {
-			r.removals[id] = removal{s.name, now, host.StartedMS}
+		isKnown := r.removals[id].removedBy == sourceName
+		if !isKnown && host.State != StateRemoved && (!isListed || after.State == StateRemoved) {
+			r.removals[id] = removal{sourceName, now, host.StartedMS}
 		}
 	}
 	for id, host := range newHosts {
 		removed, isRemoved := r.removals[id]
 		if host.State == StateRemoved {
 			if !isRemoved {
-				r.removals[id] = removal{s.name, now, host.StartedMS}
+				r.removals[id] = removal{sourceName, now, host.StartedMS}
 			}
 			delete(newHosts, id)
 			continue
 		}
-		if isRemoved && (removed.removedBy == s.name || host.StartedMS > removed.startedMS) {
+		if isRemoved && (removed.removedBy == sourceName || host.StartedMS > removed.startedMS) {
 			delete(r.removals, id)
 		}
 	}
