Keep removed hosts out of use until a newer statement revokes the removal

A host that a file had dropped was in use again at discovery's next change of another host, where discovery lists its start and the file none. Removals ended after 10 min: an entry from before them brought the host back, also while a file in force lists it as removed. Of two removers one could revoke for both.

Cause: one record for a host, with its latest remover, that remover's own idea of the start (0 in most files) and a time to live. Change: a removal for each source, of the incarnation in use. The remover's list or a later start revokes it; after 10 min a new or changed entry of another source does. Removals need no timer any more: Tick and NextTick go.

--- a/coordinator/endpoint_sources.go
+++ b/coordinator/endpoint_sources.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"chalkring/config/settings"
 	"chalkring/coordinator/plan"
@@ -62,10 +61,6 @@
 func (s *endpointSources) run() error {
 	loop := s.loop
 	for {
-		var due <-chan time.Time
-		if at := s.registry.NextTick(); at > 0 {
-			due = loop.Clock.After(time.Duration(max(at-loop.clockTicks(), 1)) * tick)
-		}
 		changed := false
 		var pending discoveryUpdate
 		var err error
@@ -78,8 +73,6 @@
 				continue
 			}
 			changed, _ = s.apply(update)
-		case <-due:
-			changed = s.registry.Tick(loop.clockTicks())
 		case <-loop.ctx.Done():
 			return nil
 		}
--- a/endpoints/merge.go
+++ b/endpoints/merge.go
@@ -7,12 +7,11 @@
 )
 
 // rebuildList merges the hosts of all sources and reports whether the merged list has changed.
-func (r *Registry) rebuildList(now int64) (changed bool) {
-	r.expireRemovals(now)
+func (r *Registry) rebuildList() (changed bool) {
 	m := merger{list: map[string]Endpoint{}, idsByAddr: map[string]string{}}
 	for _, s := range r.sourcesByPrecedence() {
 		for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
-			if _, isRemoved := r.removals[id]; !isRemoved {
+			if !r.isRemoved(id) {
 				m.add(s.name, s.hosts[id])
 			}
 		}
@@ -68,8 +67,13 @@
 	}
 }
 
+// equal reports whether two entries are equal, regardless of their positions in files.
+func (h Host) equal(other Host) bool {
+	h.Line, h.Column, other.Line, other.Column = 0, 0, 0, 0
+	return h == other
+}
+
 // equalEndpoints reports whether two endpoints are equal, regardless of their positions in files.
 func equalEndpoints(a, b Endpoint) bool {
-	a.Line, a.Column, b.Line, b.Column = 0, 0, 0, 0
-	return a.Host == b.Host && a.Source == b.Source && a.ZoneConflict == b.ZoneConflict && slices.Equal(a.DrainedBy, b.DrainedBy)
+	return a.equal(b.Host) && a.Source == b.Source && a.ZoneConflict == b.ZoneConflict && slices.Equal(a.DrainedBy, b.DrainedBy)
 }
--- a/endpoints/property_test.go
+++ b/endpoints/property_test.go
@@ -96,7 +96,6 @@
 			} else {
 				sent.record(update)
 			}
-			r.Tick(now)
 			sent.checkList(t, r.List())
 			list := fmt.Sprint(r.List())
 			hasChanged := list != previousList && (list != "[]" || previousList != "")
--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -15,14 +15,15 @@
 	name    string
 	rank    Rank
 	version int64
-	hosts   map[string]Host // by id
+	hosts   map[string]Host // by id; without removed ones
+	removed map[string]bool // ids of the hosts that its last complete list has as removed
 }
 
 // Registry keeps the hosts of all sources and the merged list. Its methods are not safe for concurrent use.
 type Registry struct {
 	rules      Rules
-	sources    map[string]*source // by name
-	removals   map[string]removal // by host id
+	sources    map[string]*source            // by name
+	removals   map[string]map[string]removal // by host id and source
 	list       map[string]Endpoint
 	generation int64
 	warning    string // about the last accepted update
@@ -30,7 +31,7 @@
 
 // NewRegistry returns a registry without sources.
 func NewRegistry(rules Rules) *Registry {
-	return &Registry{rules: rules, sources: map[string]*source{}, removals: map[string]removal{}, list: map[string]Endpoint{}}
+	return &Registry{rules: rules, sources: map[string]*source{}, removals: map[string]map[string]removal{}, list: map[string]Endpoint{}}
 }
 
 // Generation returns how often the merged list has changed.
@@ -61,6 +62,7 @@
 	if update.VersionReset && update.Partial {
 		return false, InvalidListError{Source: update.Source, Reason: "a version reset needs a complete list, not a partial update"}
 	}
+	r.expireRemovals(now)
 	s.rank = update.Rank
 	if s.rank == RankDiscovery && s.version == noVersion {
 		s.hosts = r.planHosts()
@@ -68,7 +70,7 @@
 	hostsBefore, uncoveredBefore := s.hosts, r.UncoveredSets()
 	r.accept(now, s, update)
 	r.removeOutdatedSources(now)
-	changed = r.rebuildList(now)
+	changed = r.rebuildList()
 	if !update.Confirmed {
 		r.warning = r.dropWarning(hostsBefore, s.hosts, uncoveredBefore)
 	}
@@ -86,32 +88,33 @@
 
 // RemoveSource removes a source permanently, such as a file that an operator has deleted on purpose. Without this call,
 // the last list of a source that no longer answers remains in use.
-func (r *Registry) RemoveSource(now int64, name string) (changed bool) {
+func (r *Registry) RemoveSource(name string) (changed bool) {
 	delete(r.sources, name)
-	return r.rebuildList(now)
-}
-
-// Tick drops expired removals and reports whether the merged list has changed.
-func (r *Registry) Tick(now int64) (changed bool) { return r.rebuildList(now) }
-
-// NextTick returns the time of the next Tick that has something to do, 0 for never.
-func (r *Registry) NextTick() (next int64) {
-	for _, removed := range r.removals {
-		if at := removed.at + removalMemory; next == 0 || at < next {
-			next = at
-		}
-	}
-	return next
+	return r.rebuildList()
 }
 
 // accept applies an update to its source.
 func (r *Registry) accept(now int64, s *source, update Update) {
 	hosts := s.hostsAfter(update)
+	if !update.Partial {
+		s.removed = removedIDs(update.Hosts)
+	}
 	r.recordRemovals(now, s.name, s.hosts, hosts)
+	r.revokeRemovals(now, s, hosts)
 	s.hosts, s.version = hosts, update.Version
 	r.adoptRemovals(now, update.Removals)
 }
 
+func removedIDs(hosts []Host) map[string]bool {
+	ids := map[string]bool{}
+	for _, host := range hosts {
+		if host.State == StateRemoved {
+			ids[host.ID] = true
+		}
+	}
+	return ids
+}
+
 // hostsAfter returns the hosts that the source would have after an update.
 func (s *source) hostsAfter(update Update) map[string]Host {
 	hosts := map[string]Host{}
@@ -150,6 +153,7 @@
 		if s.rank == RankPlan {
 			r.recordRemovals(now, discovery.name, s.hosts, discovery.hosts)
 		}
+		r.forgetRemovalsBy(name)
 		delete(r.sources, name)
 	}
 }
--- a/endpoints/registry_test.go
+++ b/endpoints/registry_test.go
@@ -76,7 +76,7 @@
 	require.Equal(t, "127.0.0.2:1", r.List()[3].Addr)
 	require.Equal(t, "discovery", r.List()[2].Source)
 	require.False(t, mustApply(t, r, 5, discoveryChanges(8, testHosts(8)[3])))
-	require.True(t, r.RemoveSource(6, "hosts.yaml"))
+	require.True(t, r.RemoveSource("hosts.yaml"))
 	require.Equal(t, "127.0.0.1:h3", r.List()[3].Addr)
 	require.EqualValues(t, 4, r.Generation())
 }
