Keep in the store which sources list, drain and have dropped each host

After a restart on a store, a host that a file had drained took searches as soon as discovery listed it, one that a file had dropped while no process ran was in use while discovery was silent, one that discovery had left out over 10 min ago came back with the plan, and hosts that only the store listed stayed in use where discovery answered that nothing had changed since the plan.

Cause: the store had the merged list alone, one source that ends when discovery speaks; the older plan was merged with it; handleListAnswer dropped answers without changes before the registry saw them. Change: the store has for each host the sources that list and drain it (optional keys; earlier versions pass over them), and each source has its list of the earlier run until it sends one. Discovery's earlier list counts in the plan's place.

Tests changed: TestStartWithUnusableStore expects the stored list in place of the plan's, not both merged; TestGoldenCoordinatorBucketOfARun expects the new optional key; golden file host-list-with-sources.hex is new, the earlier golden files are read and written as before.

--- a/cmd/chalkring/serve.go
+++ b/cmd/chalkring/serve.go
@@ -128,7 +128,7 @@
 	s.eventLoops = max(1, file.EventLoops)
 	s.options.EndpointUpdates = watchHostFiles(ctx, file.EndpointSources, s.log)
 	if persistence != nil {
-		s.options.EndpointUpdates = persistence.PrependStoredUpdate(ctx, s.options.EndpointUpdates)
+		s.options.EndpointUpdates = persistence.PrependStoredUpdate(ctx, s.options.EndpointUpdates, file.EndpointSources.Includes)
 	}
 	for kind, host := range file.Hosts {
 		s.options.HostKinds[kind] = coordinator.HostKind{Index: host.Index, Placement: host.Placement}
--- a/config/installation.go
+++ b/config/installation.go
@@ -47,6 +47,11 @@
 	Files []string `yaml:"files"` // host files, and folders of host files
 }
 
+// Includes reports whether a path is one of the host files, or in one of the folders. s may be nil.
+func (s *EndpointSources) Includes(path string) bool {
+	return s != nil && (slices.Contains(s.Files, path) || slices.Contains(s.Files, filepath.Dir(path)))
+}
+
 // Log selects the format and the level of the log.
 type Log struct {
 	Format string `yaml:"format"` // text, json or terminal
--- a/coordinator/discovery.go
+++ b/coordinator/discovery.go
@@ -343,7 +343,7 @@
 	case versionReset:
 	case received < *version:
 		return fmt.Errorf("got version %.0f, older than version %.0f: %w", received, *version, errVersionsRestarted)
-	case received == *version:
+	case received == *version && loop.sources == nil:
 		return nil
 	}
 	how := "Partial"
@@ -351,7 +351,7 @@
 		how = "Complete"
 	}
 	if loop.sources != nil {
-		err := loop.sources.applyDiscovery(newEndpointUpdate("discovery", endpoints.RankDiscovery, int64(received), full, versionReset, list.Hosts))
+		err := loop.sources.applyDiscovery(newEndpointUpdate(endpoints.SourceDiscovery, endpoints.RankDiscovery, int64(received), full, versionReset, list.Hosts))
 		if err == nil {
 			*version = received
 		}
--- a/coordinator/endpoint_sources.go
+++ b/coordinator/endpoint_sources.go
@@ -27,7 +27,7 @@
 // newEndpointSources returns sources that start with the plan's list.
 func newEndpointSources(loop *eventLoop, updates <-chan endpoints.Update, version int64, known []plan.ListedHost) *endpointSources {
 	s := &endpointSources{loop: loop, registry: endpoints.NewRegistry(loop.plan.EndpointRules()), discoveryUpdates: make(chan discoveryUpdate), updates: updates}
-	_, _ = s.apply(newEndpointUpdate("plan", endpoints.RankPlan, version, true, false, known)) // apply logs a refusal
+	_, _ = s.apply(newEndpointUpdate(endpoints.SourcePlan, endpoints.RankPlan, version, true, false, known)) // apply logs a refusal
 	return s
 }
 
--- a/coordinator/golden_stored_test.go
+++ b/coordinator/golden_stored_test.go
@@ -57,10 +57,10 @@
 func goldenList() recovery.EndpointList {
 	return recovery.EndpointList{
 		SavedAt: goldenNow - 2000, PlanVersion: 3, DiscoveryVersion: 9,
-		Hosts: []endpoints.Host{
-			{ID: "a", Addr: "127.0.0.1:2", Zone: "east", Kind: "std", State: endpoints.StateUp, Weight: 1, StartedMS: 1_699_999_000_000},
-			{ID: "b", Addr: "127.0.0.1:3", Zone: "west", Kind: "std", Cell: 1, State: endpoints.StateDraining, Weight: 1},
-		},
+		Hosts: storedHosts(
+			endpoints.Host{ID: "a", Addr: "127.0.0.1:2", Zone: "east", Kind: "std", State: endpoints.StateUp, Weight: 1, StartedMS: 1_699_999_000_000},
+			endpoints.Host{ID: "b", Addr: "127.0.0.1:3", Zone: "west", Kind: "std", Cell: 1, State: endpoints.StateDraining, Weight: 1},
+		),
 		Removals: []recovery.Removal{{ID: "c", RemovedBy: "discovery", RemovedAt: goldenNow - 12_000}},
 	}
 }
@@ -116,7 +116,7 @@
 	persistence := openGoldenStore(t, path)
 	require.Empty(t, persistence.restored.Discarded)
 	require.NotNil(t, persistence.restored.Update)
-	require.Equal(t, goldenList().Hosts, persistence.restored.Update.Hosts)
+	require.Equal(t, goldenList().Hosts, storedHosts(persistence.restored.Update.Hosts...))
 	require.Equal(t, []endpoints.Removal{{ID: "c", RemovedBy: "discovery", Age: 120_000}}, persistence.restored.Update.Removals)
 	require.NotNil(t, persistence.restored.Observations)
 	require.Equal(t, goldenObservations().Entries, persistence.restored.Observations.Entries)
@@ -177,8 +177,8 @@
 	require.Len(t, hosts, 3)
 	host, ok := hosts[0].(map[any]any)
 	require.True(t, ok)
-	require.Len(t, host, 10)
-	for _, name := range []string{"ID", "Addr", "Zone", "Kind", "Cell", "State", "Weight", "StartedMS", "Line", "Column"} {
+	require.Len(t, host, 11, "DrainedBy is left out where no source drains the host")
+	for _, name := range []string{"ID", "Addr", "Zone", "Kind", "Cell", "State", "Weight", "StartedMS", "Line", "Column", "ListedBy"} {
 		require.Contains(t, host, name)
 	}
 	require.Equal(t, []any{uint64(7), uint64(9)}, list[1:3], "the versions of the plan and of discovery")
--- a/coordinator/persistence.go
+++ b/coordinator/persistence.go
@@ -185,6 +185,7 @@
 	}
 	hosts, observed := 0, 0
 	if p.restored.Update != nil {
+		p.discoveryVersion.CompareAndSwap(p.planVersion, list.DiscoveryVersion) // unless discovery has answered meanwhile
 		hosts = len(p.restored.Update.Hosts)
 	}
 	if p.restored.Observations != nil {
@@ -224,8 +225,9 @@
 }
 
 // PrependStoredUpdate returns a channel that delivers the given updates and, once the store is open, the stored
-// endpoint list. updates may be nil. The channel is closed when ctx ends.
-func (p *Persistence) PrependStoredUpdate(ctx context.Context, updates <-chan endpoints.Update) <-chan endpoints.Update {
+// endpoint list, with what those host files said for which isFile is true. updates may be nil. The channel is closed when
+// ctx ends.
+func (p *Persistence) PrependStoredUpdate(ctx context.Context, updates <-chan endpoints.Update, isFile func(name string) bool) <-chan endpoints.Update {
 	out := make(chan endpoints.Update)
 	go func() {
 		defer close(out)
@@ -237,7 +239,7 @@
 				if opened = nil; p.restored.Update == nil {
 					continue
 				}
-				update = *p.restored.Update
+				update = p.restored.Update.KeepFiles(isFile)
 			case next, ok := <-updates:
 				if !ok {
 					updates = nil
--- a/coordinator/persistence_test.go
+++ b/coordinator/persistence_test.go
@@ -44,7 +44,7 @@
 	go func() {
 		err := Serve(ctx, restarted.plan, Options{
 			Listener: ln, Dial: (&net.Dialer{}).DialContext, Clock: SystemClock{}, Logger: log,
-			Persistence: persistence, EndpointUpdates: persistence.PrependStoredUpdate(ctx, updates), onStart: started,
+			Persistence: persistence, EndpointUpdates: persistence.PrependStoredUpdate(ctx, updates, func(name string) bool { return name == "hosts.yaml" }), onStart: started,
 		})
 		persistence.Close()
 		restarted.ended <- err
@@ -69,6 +69,14 @@
 	require.NoError(t, s.Close(context.Background()))
 }
 
+// storedHosts returns hosts in the form in which earlier versions stored them.
+func storedHosts(hosts ...endpoints.Host) (stored []recovery.Host) {
+	for _, host := range hosts {
+		stored = append(stored, recovery.Host{Host: host})
+	}
+	return stored
+}
+
 // currentHosts returns the hosts in the event loop's current endpoint list.
 func (r *rig) currentHosts() string {
 	found := make(chan string, 1)
@@ -166,7 +174,7 @@
 func TestStartWithUnusableStore(t *testing.T) {
 	first := start(t, 256, nil)
 	path, now := filepath.Join(t.TempDir(), "kept"), time.Now().UnixMilli()
-	list := recovery.EndpointList{SavedAt: now, PlanVersion: 7, DiscoveryVersion: 8, Hosts: []endpoints.Host{first.host("a0"), {ID: "c0", Addr: "127.0.0.1:1", Weight: 1}}}
+	list := recovery.EndpointList{SavedAt: now, PlanVersion: 7, DiscoveryVersion: 8, Hosts: storedHosts(first.host("a0"), first.host("b0"), endpoints.Host{ID: "c0", Addr: "127.0.0.1:1", Weight: 1})}
 	crashed := func(n int) recovery.StartRecord {
 		s := recovery.StartRecord{}
 		for range n {
@@ -174,7 +182,7 @@
 		}
 		return s
 	}
-	for crashes, want := range []string{"a0 a1 b0 b1 c0 ", "a0 a1 b0 b1 c0 ", "a0 a1 b0 b1 c0 ", "a0 a1 b0 b1 ", "a0 a1 b0 b1 "} {
+	for crashes, want := range []string{"a0 b0 c0 ", "a0 b0 c0 ", "a0 b0 c0 ", "a0 a1 b0 b1 ", "a0 a1 b0 b1 "} {
 		writeStore(t, path, map[string]any{listKey: list, startsKey: crashed(crashes)})
 		r := first.restartWithStore(path, store.Options{})
 		r.logged("event=store ")
@@ -210,7 +218,7 @@
 	list, observations := recovery.EndpointList{SavedAt: now}, recovery.Observations{SavedAt: now, Head: peerreport.ReportHeader{Peer: "n", HostCount: 10_000}}
 	for i := range 10_000 {
 		hostID := fmt.Sprint("host-", i)
-		list.Hosts = append(list.Hosts, endpoints.Host{ID: hostID, Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), Zone: "hall", Kind: "std", Weight: 1})
+		list.Hosts = append(list.Hosts, storedHosts(endpoints.Host{ID: hostID, Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), Zone: "hall", Kind: "std", Weight: 1})...)
 		observations.Entries = append(observations.Entries, peerreport.Observation{HostID: hostID, ShortSamples: 40, LongSamples: 80, ShortLogSlowdown: 120, LongLogSlowdown: 90, AgeMs: 300})
 	}
 	s, err := store.Open(filepath.Join(b.TempDir(), "kept"), store.Options{})
--- a/coordinator/withdrawn_hosts_test.go
+++ b/coordinator/withdrawn_hosts_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chalkring/endpoints"
+	"chalkring/storage/recovery"
 	"chalkring/storage/store"
 )
 
@@ -132,6 +133,87 @@
 	}
 }
 
+// Guards against a host that gets attempts after a restart without discovery although it was withdrawn before: by discovery, by
+// a host file that cannot be read any more, or by one that dropped it while no process ran.
+func TestRestartKeepsWithdrawnHostsOutOfUse(t *testing.T) {
+	newFirst := func(t *testing.T) (first *rig, path string) {
+		return start(t, 256, nil), filepath.Join(t.TempDir(), "kept")
+	}
+	stop := func(r *rig, hosts string) {
+		r.eventually("the list is in force", func() bool { return r.currentHosts() == hosts })
+		r.shutDown() // stores the list
+		require.NotContains(r.t, r.log.String(), "store_failed")
+	}
+	t.Run("left out by discovery", func(t *testing.T) {
+		t.Parallel()
+		first, path := newFirst(t)
+		r := first.restartWithStore(path, store.Options{})
+		r.logged("event=store ")
+		r.answerList(8, false, r.entries("")...)
+		r.answerList(9, false, r.entry("b1", "up"))
+		stop(r, "b1 ")
+		for range 2 { // the second time from what the first restart has stored
+			r = first.restartWithStore(path, store.Options{})
+			r.eventually("the stored list is in force", func() bool { return r.currentHosts() == "b1 " })
+			r.requireOnlyServing("b1")
+			stop(r, "b1 ")
+		}
+		first.shutDown()
+	})
+	t.Run("drained by a file that is away", func(t *testing.T) {
+		t.Parallel()
+		first, path := newFirst(t)
+		updates := make(chan endpoints.Update)
+		r := first.restartWithStoreAndUpdates(path, store.Options{}, updates)
+		r.logged("event=store ")
+		r.answerList(8, false, r.entries("")...)
+		updates <- r.fileWith(1, endpoints.StateDraining, "a0", "a1", "b0")
+		r.logged("how=Complete version=3")
+		stop(r, "a0 a1 b0 b1 ")
+		r = first.restartWithStore(path, store.Options{})
+		r.logged("event=store ")
+		r.answerList(9, false, r.entries("")...)
+		r.logged("listed=4")
+		r.eventually("discovery's list is in force", func() bool { return r.persistence().discoveryVersion.Load() == 9 })
+		r.requireOnlyServing("b1")
+		r.shutDown()
+		first.shutDown()
+	})
+	t.Run("dropped by a file while no process ran", func(t *testing.T) {
+		t.Parallel()
+		first, path := newFirst(t)
+		updates := make(chan endpoints.Update)
+		r := first.restartWithStoreAndUpdates(path, store.Options{}, updates)
+		r.logged("event=store ")
+		updates <- r.fileWith(1, endpoints.StateUp)
+		r.logged("how=Complete version=2")
+		stop(r, "a0 a1 b0 b1 ")
+		r = first.restartWithStoreAndUpdates(path, store.Options{}, updates)
+		r.logged("event=store ")
+		updates <- endpoints.Update{Source: "hosts.yaml", Rank: endpoints.RankFile, Version: 1, Hosts: []endpoints.Host{r.host("b1")}}
+		r.eventually("the file's list is in force", func() bool { return r.currentHosts() == "b1 " })
+		r.requireOnlyServing("b1")
+		r.shutDown()
+		first.shutDown()
+	})
+}
+
+// Guards against a store whose hosts stay in use because discovery has nothing new to say: that its list is the plan's is an
+// answer, too.
+func TestUnchangedPlanReplacesTheStore(t *testing.T) {
+	first := start(t, 256, nil)
+	path, now := filepath.Join(t.TempDir(), "kept"), time.Now().UnixMilli()
+	gone := endpoints.Host{ID: "c0", Addr: "127.0.0.1:1", Weight: 1}
+	list := recovery.EndpointList{SavedAt: now, PlanVersion: 7, DiscoveryVersion: 8, Hosts: storedHosts(first.host("a0"), first.host("b0"), gone)}
+	writeStore(t, path, map[string]any{listKey: list})
+	r := first.restartWithStore(path, store.Options{})
+	r.eventually("the stored list is in force", func() bool { return r.currentHosts() == "a0 b0 c0 " })
+	r.answerList(7, true)
+	r.eventually("the plan's list is in force", func() bool { return r.currentHosts() == "a0 a1 b0 b1 " })
+	r.shutDown()
+	first.shutDown()
+}
+
 // fileWith returns a host file's list of all replicas, of which some are in another state than up.
 func (r *rig) fileWith(version int64, state endpoints.State, inState ...string) endpoints.Update {
 	update := endpoints.Update{Source: "hosts.yaml", Rank: endpoints.RankFile, Version: version}
--- a/endpoints/endpoints.go
+++ b/endpoints/endpoints.go
@@ -53,6 +53,10 @@
 	Confirmed    bool  // an operator has confirmed the list, so the guards do not hold it back
 	Hosts        []Host
 	Removals     []Removal // removals that the source remembers, including those by other sources
+
+	// What a store also knows of the earlier run that wrote it.
+	Origins              map[string]Origin // by host id; hosts without one are the store's own
+	DiscoveryHadAnswered bool              // discovery's list was in use, not the plan's
 }
 
 // Removal is a host that a source has removed. While it is remembered, other sources' entries of the host are ignored.
@@ -74,6 +78,7 @@
 type Endpoint struct {
 	Host
 	Source       string   // the source whose entry is used
+	ListedBy     []string // all sources that list it
 	DrainedBy    []string // the sources that list it as draining
 	ZoneConflict bool     // sources list it, or its address, in different zones
 }
--- a/endpoints/merge.go
+++ b/endpoints/merge.go
@@ -24,11 +24,16 @@
 	return changed
 }
 
-// sourcesByPrecedence returns the sources, the highest rank first, and by name within a rank.
+// sourcesByPrecedence returns the sources, the highest rank first, and by name within a rank. The plan is left out while an
+// earlier run's later list is in use.
 func (r *Registry) sourcesByPrecedence() []*source {
-	return slices.SortedFunc(maps.Values(r.sources), func(a, b *source) int {
+	sorted := slices.SortedFunc(maps.Values(r.sources), func(a, b *source) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.name, b.name))
 	})
+	if slices.ContainsFunc(sorted, (*source).replacesPlan) {
+		sorted = slices.DeleteFunc(sorted, func(s *source) bool { return s.rank == RankPlan })
+	}
+	return sorted
 }
 
 // merger builds the merged list from hosts that are added in the order of their sources' precedence.
@@ -47,6 +52,7 @@
 		m.idsByAddr[host.Addr] = host.ID
 		endpoint = Endpoint{Host: host, Source: sourceName}
 	}
+	endpoint.ListedBy = append(endpoint.ListedBy, sourceName)
 	if host.Zone != "" && endpoint.Zone != host.Zone {
 		endpoint.ZoneConflict = true
 	}
@@ -75,5 +81,6 @@
 
 // equalEndpoints reports whether two endpoints are equal, regardless of their positions in files.
 func equalEndpoints(a, b Endpoint) bool {
-	return a.equal(b.Host) && a.Source == b.Source && a.ZoneConflict == b.ZoneConflict && slices.Equal(a.DrainedBy, b.DrainedBy)
+	return a.equal(b.Host) && a.Source == b.Source && a.ZoneConflict == b.ZoneConflict &&
+		slices.Equal(a.ListedBy, b.ListedBy) && slices.Equal(a.DrainedBy, b.DrainedBy)
 }
--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -17,6 +17,8 @@
 	version int64
 	hosts   map[string]Host // by id; without removed ones
 	removed map[string]bool // ids of the hosts that its last complete list has as removed
+
+	isRestored bool // hosts is its list of an earlier run
 }
 
 // Registry keeps the hosts of all sources and the merged list. Its methods are not safe for concurrent use.
@@ -64,11 +66,8 @@
 	}
 	r.expireRemovals(now)
 	s.rank = update.Rank
-	if s.rank == RankDiscovery && s.version == noVersion {
-		s.hosts = r.planHosts()
-	}
-	hostsBefore, uncoveredBefore := s.hosts, r.UncoveredSets()
-	r.accept(now, s, update)
+	uncoveredBefore := r.UncoveredSets()
+	hostsBefore := r.accept(now, s, update)
 	r.removeOutdatedSources(now)
 	changed = r.rebuildList()
 	if !update.Confirmed {
@@ -93,16 +92,27 @@
 	return r.rebuildList()
 }
 
-// accept applies an update to its source.
-func (r *Registry) accept(now int64, s *source, update Update) {
+// accept applies an update to its source, and returns the hosts that the source had.
+func (r *Registry) accept(now int64, s *source, update Update) (hostsBefore map[string]Host) {
+	if update.Rank == RankStore {
+		r.restoreLists(now, s, update)
+		return nil
+	}
+	hostsBefore = s.hosts
+	if s.rank == RankDiscovery && s.version == noVersion {
+		s.hosts = r.planHosts() // discovery's first changes are changes of them
+		hostsBefore = maps.Clone(hostsBefore)
+		maps.Copy(hostsBefore, s.hosts)
+	}
 	hosts := s.hostsAfter(update)
 	if !update.Partial {
 		s.removed = removedIDs(update.Hosts)
 	}
-	r.recordRemovals(now, s.name, s.hosts, hosts)
+	r.recordRemovals(now, s.name, hostsBefore, hosts)
 	r.revokeRemovals(now, s, hosts)
-	s.hosts, s.version = hosts, update.Version
+	s.hosts, s.version, s.isRestored = hosts, update.Version, false
 	r.adoptRemovals(now, update.Removals)
+	return hostsBefore
 }
 
 func removedIDs(hosts []Host) map[string]bool {
@@ -127,8 +137,7 @@
 	return hosts
 }
 
-// planHosts returns the hosts of the plan. They are discovery's last list that the plan's author knew, so discovery's first
-// changes are changes of them, and what its first complete list leaves out of them has left.
+// planHosts returns the hosts of the plan: discovery's list when the plan was written.
 func (r *Registry) planHosts() map[string]Host {
 	hosts := map[string]Host{}
 	for _, s := range r.sources {
--- a/storage/recovery/golden_stored_test.go
+++ b/storage/recovery/golden_stored_test.go
@@ -23,14 +23,21 @@
 func TestGoldenHostList(t *testing.T) {
 	golden.RequireCBOR(t, "host-list.hex", EndpointList{
 		SavedAt: 1_700_000_000_000, PlanVersion: 3, DiscoveryVersion: 9,
-		Hosts: []endpoints.Host{
-			{ID: "a0", Addr: "10.0.0.1:7000", Zone: "eu-1", Kind: "large", Cell: 2, State: endpoints.StateUp, Weight: 1.5, StartedMS: 1_699_999_000_000, Line: 4, Column: 6},
-			{ID: "b0", Addr: "10.0.0.2:7000", Zone: "eu-2", State: endpoints.StateDraining, Weight: 1},
-			{ID: "c0", Addr: "10.0.0.3:7000", State: endpoints.StateRemoved},
+		Hosts: []Host{
+			{Host: endpoints.Host{ID: "a0", Addr: "10.0.0.1:7000", Zone: "eu-1", Kind: "large", Cell: 2, State: endpoints.StateUp, Weight: 1.5, StartedMS: 1_699_999_000_000, Line: 4, Column: 6}},
+			{Host: endpoints.Host{ID: "b0", Addr: "10.0.0.2:7000", Zone: "eu-2", State: endpoints.StateDraining, Weight: 1}},
+			{Host: endpoints.Host{ID: "c0", Addr: "10.0.0.3:7000", State: endpoints.StateRemoved}},
 		},
 		Removals: []Removal{{ID: "d0", RemovedBy: "discovery", StartedMS: 1_699_999_500_000, RemovedAt: 1_699_999_900_000}},
 	})
 	golden.RequireCBOR(t, "host-list-empty.hex", EndpointList{SavedAt: 1})
+	golden.RequireCBOR(t, "host-list-with-sources.hex", EndpointList{
+		SavedAt: 1_700_000_000_000, PlanVersion: 3, DiscoveryVersion: 9,
+		Hosts: []Host{{
+			Host:     endpoints.Host{ID: "a0", Addr: "10.0.0.1:7000", Zone: "eu-1", State: endpoints.StateDraining, Weight: 1},
+			ListedBy: []string{"hosts.d/a.yaml", "discovery"}, DrainedBy: []string{"hosts.d/a.yaml"},
+		}},
+	})
 }
 
 // Guards against an unintended change of the stored form of observations.
@@ -65,7 +72,15 @@
 	require.Equal(t, "#store", PeerName)
 	require.Equal(t, []string{"all", "no_notes", "no_list", "nothing"},
 		[]string{TrustAll.String(), TrustWithoutObservations.String(), TrustWithoutEndpoints.String(), TrustNothing.String()}, "names in events and log lines")
-	require.Equal(t, list.Hosts, restored.Update.Hosts)
+	require.Len(t, restored.Update.Hosts, 3)
+	for i, host := range list.Hosts {
+		require.Equal(t, host.Host, restored.Update.Hosts[i])
+	}
+	require.Empty(t, restored.Update.Origins, "earlier versions do not say which sources list a host")
+	read("host-list-with-sources.hex", &list)
+	require.Equal(t, map[string]endpoints.Origin{"a0": {ListedBy: []string{"hosts.d/a.yaml", "discovery"}, DrainedBy: []string{"hosts.d/a.yaml"}}},
+		Restore(1_700_000_002_000, TrustAll, 3, &list, nil).Update.Origins)
+	read("host-list.hex", &list)
 	require.Equal(t, []endpoints.Removal{{ID: "d0", RemovedBy: "discovery", StartedMS: 1_699_999_500_000, Age: 1_020_000}}, restored.Update.Removals)
 	require.Equal(t, uint32(3200), restored.Observations.Head.AgeMs)
 	require.Equal(t, observations.Entries, restored.Observations.Entries)
--- a/storage/recovery/recovery.go
+++ b/storage/recovery/recovery.go
@@ -17,8 +17,8 @@
 
 // The names of the store among other sources.
 const (
-	SourceName = "store"  // among the sources of the endpoint list
-	PeerName   = "#store" // among peers; their names in the installation file cannot start with #
+	SourceName = endpoints.SourceStore // among the sources of the endpoint list
+	PeerName   = "#store"              // among peers; their names in the installation file cannot start with #
 )
 
 // Restored is the trusted part of the stored state. Update or Observations is nil if that part was missing or discarded.
