Withdraw hosts that a refused list of discovery drains or leaves out

With a store or host files, an invalid entry of one host in an answer of discovery had the whole update refused: hosts that it drains, removes or leaves out went on getting searches until discovery had corrected the other entry.

Cause: Registry.Apply rejects an update as a whole, for a file may be half written; an answer of discovery is whole. Change: of a rejected update of discovery what it withdraws counts, and nothing else; its version stays unknown and it is polled again. A rejected file changes nothing, as before.

--- a/coordinator/discovery_test.go
+++ b/coordinator/discovery_test.go
@@ -270,7 +270,8 @@
 }
 
 // With several sources, changes from discovery that are refused are polled again until they are accepted. Guards
-// against a refused version that counts as known: discovery would not send its changes again.
+// against a refused version that counts as known: discovery would not send its changes again; and against a host that
+// discovery drains and that gets attempts until another host's entry in the same changes has been corrected.
 func TestRefusedChangesArePolledAgain(t *testing.T) {
 	r := startWithOptions(t, nil, 256, nil, nil, nil, func(m *Options) { m.EndpointUpdates = make(chan endpoints.Update) })
 	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.Targets)
@@ -280,6 +281,10 @@
 	r.list.Responses <- invalid
 	require.Equal(t, "/v1/servers?index=7&wait=2000", <-r.list.Targets)
 	r.logged("event=list_refused")
+	r.eventually("a0 drains already", func() bool {
+		drains := make(chan bool, 1)
+		return r.loop.submit(func() { drains <- r.loop.replicas.byID["a0"].closedToNew }) && <-drains
+	})
 	r.list.Responses <- valid
 	require.Equal(t, "/v1/servers?index=8&wait=2000", <-r.list.Targets)
 	c := r.connect()
--- a/coordinator/endpoint_sources.go
+++ b/coordinator/endpoint_sources.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		s.loop.log.warnLimited("list_refused "+update.Source, "list_refused", "source", update.Source, "error", err)
 		s.loop.recordEvent("list_refused", update.Source+": "+err.Error())
-		return false, err
+		return changed, err
 	}
 	if warning := s.registry.Warning(); warning != "" {
 		s.loop.log.warnLimited("list_warning "+update.Source, "list_warning", "source", update.Source, "saw", warning,
