--- a/internal/clustertest/rig.go
+++ b/internal/clustertest/rig.go
@@ -585,14 +585,25 @@
 
 // EditEndpoints has discovery tell a list that edit makes of the one there is; addresses are left alone.
 func (r *Cluster) EditEndpoints(edit func(e *fake.Endpoint)) {
+	r.changeEndpoints(func(entries []fake.Endpoint) []fake.Endpoint {
+		for n := range entries {
+			edit(&entries[n])
+		}
+		return entries
+	})
+}
+
+// LeaveOutEndpoints takes entries out of the lists that discovery sends.
+func (r *Cluster) LeaveOutEndpoints(isLeftOut func(e fake.Endpoint) bool) {
+	r.changeEndpoints(func(entries []fake.Endpoint) []fake.Endpoint { return slices.DeleteFunc(entries, isLeftOut) })
+}
+
+func (r *Cluster) changeEndpoints(change func(entries []fake.Endpoint) []fake.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for k, p := range r.shape.Instances {
 		i := r.all[p.Name]
-		i.zoned = slices.Clone(i.zoned)
-		for n := range i.zoned {
-			edit(&i.zoned[n])
-		}
+		i.zoned = change(slices.Clone(i.zoned))
 		if k == 0 {
 			r.Audit.moved(i.zoned)
 		}
