--- a/cmd/chalkring/withdrawn_hosts_test.go
+++ b/cmd/chalkring/withdrawn_hosts_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,7 +36,7 @@
 	ctx context.Context
 }
 
-func startWithdrawalCluster(t *testing.T, program string) *withdrawalCluster {
+func startWithdrawalCluster(t *testing.T, program string, eventLoops int) *withdrawalCluster {
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawalTimeout)
 	t.Cleanup(cancel)
 	config := clustertest.Config{Seed: 1, ProgramPath: program, Instances: []clustertest.Instance{{Name: "a", Region: "east", Zone: "east-1"}}}
@@ -41,7 +45,9 @@
 			config.Hosts = append(config.Hosts, clustertest.Host{ID: fmt.Sprintf("h%d%d", cell, i), Zone: "east-1", Cell: cell})
 		}
 	}
-	config.InstallationFile = func(clustertest.InstanceAddresses) string { return "store: kept.db\nmembers: {files: [hosts.yaml]}\n" }
+	config.InstallationFile = func(clustertest.InstanceAddresses) string {
+		return fmt.Sprintf("store: kept.db\nmembers: {files: [hosts.yaml]}\nowners: %d\n", eventLoops)
+	}
 	cluster, err := clustertest.New(ctx, config)
 	require.NoError(t, err)
 	t.Cleanup(func() { cluster.Close() })
@@ -78,6 +84,19 @@
 	c.LeaveOutEndpoints(func(e fake.Endpoint) bool { return slices.Contains(ids, e.ID) })
 }
 
+// moveDiscovery starts another discovery that does not list some hosts, and has the process reload a plan that names it.
+func (c *withdrawalCluster) moveDiscovery(leftOut ...string) {
+	entries := slices.DeleteFunc(c.Endpoints("a"), func(e fake.Endpoint) bool { return slices.Contains(leftOut, e.ID) })
+	discovery, err := fake.NewDiscoveryServer(entries)
+	require.NoError(c.t, err)
+	c.t.Cleanup(discovery.Close)
+	text, err := os.ReadFile(filepath.Join(c.Addresses("a").Dir, "plan.json"))
+	require.NoError(c.t, err)
+	moved := regexp.MustCompile(`"discovery":"[^"]*"`).ReplaceAll(text, fmt.Appendf(nil, `"discovery":%q`, discovery.Listener.Addr()))
+	require.NoError(c.t, c.WriteFile("a", "plan.json", string(moved)))
+	require.NoError(c.t, c.Signal("a", syscall.SIGHUP))
+}
+
 // play sends searches for a time and returns their results.
 func (c *withdrawalCluster) play(name string, length time.Duration) []clustertest.ClientResult {
 	return c.PlaySearches(c.ctx, c.DrawSearches(1, name, withdrawalRate, length, 3*time.Second, "acme"))
@@ -93,30 +112,37 @@
 		whileDown()
 		require.NoError(t, c.Start(c.ctx, "a"))
 	}
-	for name, withdraw := range map[string]func(c *withdrawalCluster){
-		"drained one by one": func(c *withdrawalCluster) {
+	for _, test := range []struct {
+		name       string
+		eventLoops int
+		withdraw   func(c *withdrawalCluster)
+	}{
+		{"drained one by one", 1, func(c *withdrawalCluster) {
 			for _, id := range withdrawalHosts {
 				c.setState("draining", id)
 				time.Sleep(50 * time.Millisecond)
 			}
-		},
-		"drained at once":                func(c *withdrawalCluster) { c.setState("draining", withdrawalHosts...) },
-		"removed at once":                func(c *withdrawalCluster) { c.setState("removed", withdrawalHosts...) },
-		"left out of the list":           func(c *withdrawalCluster) { c.leaveOut(withdrawalHosts...) },
-		"drained by the host file":       func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "draining") },
-		"removed by the host file":       func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "removed") },
-		"dropped by the host file":       func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "") },
-		"left out before a restart":      func(c *withdrawalCluster) { c.leaveOut(withdrawalHosts...); restart(c, func() {}) },
-		"left out while no process runs": func(c *withdrawalCluster) { restart(c, func() { c.leaveOut(withdrawalHosts...) }) },
-		"dropped by the host file while no process runs": func(c *withdrawalCluster) {
+		}},
+		{"drained at once", 1, func(c *withdrawalCluster) { c.setState("draining", withdrawalHosts...) }},
+		{"removed at once", 1, func(c *withdrawalCluster) { c.setState("removed", withdrawalHosts...) }},
+		{"left out of the list", 1, func(c *withdrawalCluster) { c.leaveOut(withdrawalHosts...) }},
+		{"left out of the list, two event loops", 2, func(c *withdrawalCluster) { c.leaveOut(withdrawalHosts...) }},
+		{"left out by the discovery that SIGHUP names", 1, func(c *withdrawalCluster) { c.moveDiscovery(withdrawalHosts...) }},
+		{"drained by the host file", 1, func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "draining") }},
+		{"removed by the host file", 1, func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "removed") }},
+		{"dropped by the host file", 1, func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "") }},
+		{"dropped by the host file, two event loops", 2, func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "") }},
+		{"left out before a restart", 1, func(c *withdrawalCluster) { c.leaveOut(withdrawalHosts...); restart(c, func() {}) }},
+		{"left out while no process runs", 1, func(c *withdrawalCluster) { restart(c, func() { c.leaveOut(withdrawalHosts...) }) }},
+		{"dropped by the host file while no process runs", 2, func(c *withdrawalCluster) {
 			restart(c, func() { c.writeHostFile(withdrawalHosts, "") })
-		},
+		}},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			c := startWithdrawalCluster(t, program)
+			c := startWithdrawalCluster(t, program, test.eventLoops)
 			before := c.play("b", time.Second)
-			withdraw(c)
+			test.withdraw(c)
 			told := time.Now()
 			after := c.play("a", withdrawalGrace+withdrawalSlack+withdrawalWatch)
 			served, late := 0, []string{}
