Keep the latest start of a host that is removed after a restart or twice

After a restart, discovery's first list that left a host out removed the incarnation that the plan names, not the later one that the store had; a second removal with a later start left the first one's. A host file's entry with the later start then brought the host back.

Cause: accept put the plan's entries over the stored ones, recordRemovals did not look at the earlier entry of a host that a list names as removed, and addRemoval passed over a removal that it knew. Each now keeps the latest start.

Evidence: TestNoSequenceOfListsBringsBackAWithdrawnHost, new: drawn lists, changes and restarts against a model of the rule alone.

--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -101,9 +101,10 @@
 	}
 	hostsBefore = s.hosts
 	if s.rank == RankDiscovery && s.version == noVersion {
+		restored := s.hosts
 		s.hosts = r.planHosts() // discovery's first changes are changes of them
-		hostsBefore = maps.Clone(hostsBefore)
-		maps.Copy(hostsBefore, s.hosts)
+		hostsBefore = maps.Clone(s.hosts)
+		maps.Copy(hostsBefore, restored)
 	}
 	hosts := s.hostsAfter(update)
 	if !update.Partial {
--- a/endpoints/removals.go
+++ b/endpoints/removals.go
@@ -41,21 +41,23 @@
 	}
 	for id, host := range newHosts {
 		if host.State == StateRemoved {
-			r.addRemoval(id, sourceName, removal{now, host.StartedMS, now + removalMemory})
+			startedMS := max(host.StartedMS, hosts[id].StartedMS)
+			r.addRemoval(id, sourceName, removal{now, startedMS, now + removalMemory})
 			delete(newHosts, id)
 		}
 	}
 }
 
-// addRemoval adds a removal unless the source has removed the host before. What is removed is the incarnation in use: the
-// source's own entry may have no start, or an earlier one than another source's.
+// addRemoval adds a removal. What is removed is the incarnation in use: the source's own entry may have no start, or an earlier
+// one than another source's. If the source has removed the host before, only its incarnation may become later.
 func (r *Registry) addRemoval(id, sourceName string, removed removal) {
-	if _, isKnown := r.removals[id][sourceName]; isKnown {
-		return
-	}
 	for _, s := range r.sources {
 		removed.startedMS = max(removed.startedMS, s.hosts[id].StartedMS)
 	}
+	if known, isKnown := r.removals[id][sourceName]; isKnown {
+		known.startedMS = max(known.startedMS, removed.startedMS)
+		removed = known
+	}
 	if r.removals[id] == nil {
 		r.removals[id] = map[string]removal{}
 	}
