--- a/cmd/chalkring/withdrawn_hosts_test.go
+++ b/cmd/chalkring/withdrawn_hosts_test.go
@@ -133,6 +133,11 @@
 		{"dropped by the host file", 1, func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "") }},
 		{"dropped by the host file, two event loops", 2, func(c *withdrawalCluster) { c.writeHostFile(withdrawalHosts, "") }},
 		{"left out before a restart", 1, func(c *withdrawalCluster) { c.leaveOut(withdrawalHosts...); restart(c, func() {}) }},
+		{"left out before a kill", 1, func(c *withdrawalCluster) {
+			c.leaveOut(withdrawalHosts...)
+			require.NoError(c.t, c.Kill(c.ctx, "a"))
+			require.NoError(c.t, c.Start(c.ctx, "a"))
+		}},
 		{"left out while no process runs", 1, func(c *withdrawalCluster) { restart(c, func() { c.leaveOut(withdrawalHosts...) }) }},
 		{"dropped by the host file while no process runs", 2, func(c *withdrawalCluster) {
 			restart(c, func() { c.writeHostFile(withdrawalHosts, "") })
