--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -51,8 +51,8 @@
 
 // Apply accepts a source's update as a whole, or rejects it with an InvalidListError, and reports whether the merged list
 // has changed. An update whose version is not above the source's last one changes nothing. Of a rejected update of discovery
-// only what it withdraws counts. Whatever an accepted update
-// drops or drains is out of use at once, however much it is: Warning says what an operator should know about it.
+// only what it withdraws counts. Whatever an accepted update drops or drains is out of use at once, however much it is: Warning
+// says what an operator should know about it.
 func (r *Registry) Apply(now int64, update Update) (changed bool, err error) {
 	r.warning = ""
 	if err := r.validate(update); err != nil {
